--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+READY := $(VENV)/.ready
+SEED ?= 1
+MINUTES ?= 5
+
+.PHONY: setup demo test lint bench soak spec clean
+
+setup: $(READY)
+
+$(READY): pyproject.toml constraints.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -c constraints.txt \
+		-e '.[dev]' --config-settings editable_mode=compat
+	touch $(READY)
+
+demo: setup
+	$(PYTHON) -m hornbeamgw.testing.demo
+
+test: setup
+	$(PYTHON) -m hornbeamgw.testing.suite
+
+lint: setup
+	$(PYTHON) -m black --check --quiet .
+	$(PYTHON) -m ruff check --quiet .
+	$(PYTHON) -m mypy
+
+clean:
+	rm -rf $(VENV) build .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/hornbeamgw/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line as a module."""
+
+from hornbeamgw.commands.main import main
+
+main()
--- /dev/null
+++ b/hornbeamgw/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators."""
--- /dev/null
+++ b/hornbeamgw/commands/daemon.py
@@ -0,0 +1,77 @@
+"""Commands that run a daemon and look at its settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from hornbeamgw.commands.output import Format, fail_with_problems, print_rows, read_file
+from hornbeamgw.core.options import Loaded, parse_settings
+
+SettingsArg = Annotated[str, cappa.Arg(long="--settings", help="YAML file with settings")]
+OutputArg = Annotated[Format, cappa.Arg(long="--output", help="table or json")]
+
+
+def _load(path: str) -> Loaded:
+    loaded, problems = parse_settings(read_file(path), path)
+    if loaded is None:
+        fail_with_problems(problems)
+    return loaded
+
+
+@cappa.command(name="daemon", help="Run the daemon beside a backend server.")
+@dataclass
+class DaemonCommand:
+    """Run a daemon until it is told to stop."""
+
+    settings: SettingsArg
+    print_addresses: Annotated[
+        bool, cappa.Arg(long=True, help="print the addresses in use as JSON once listening")
+    ] = False
+
+    def __call__(self) -> None:
+        """Run it and exit with its code: 0 drained, 3 cut something off."""
+        from hornbeamgw.daemon.main import run
+
+        raise cappa.Exit(code=run(_load(self.settings).settings, self.print_addresses))
+
+
+@cappa.command(name="check", help="Check a settings file; exit code 2 with every problem.")
+@dataclass
+class SettingsCheck:
+    """Check a settings file."""
+
+    settings: Annotated[str, cappa.Arg(help="YAML file with settings")]
+
+    def __call__(self) -> None:
+        """Check it."""
+        _load(self.settings)
+        print(f"{self.settings}: ok")
+
+
+@cappa.command(name="show", help="Show effective settings and where each comes from.")
+@dataclass
+class SettingsShow:
+    """Show effective settings."""
+
+    settings: Annotated[str, cappa.Arg(help="YAML file with settings")]
+    output: OutputArg = "table"
+
+    def __call__(self) -> None:
+        """Show them."""
+        loaded = _load(self.settings)
+        rows = [
+            {"key": key, "value": value, "source": loaded.sources_by_key[key]}
+            for key, value in loaded.settings._asdict().items()
+        ]
+        print_rows(rows, ("key", "value", "source"), self.output)
+
+
+@cappa.command(name="settings", help="Check or show settings.")
+@dataclass
+class SettingsCommand:
+    """Choose what to do with settings."""
+
+    command: cappa.Subcommands[SettingsCheck | SettingsShow]
--- /dev/null
+++ b/hornbeamgw/commands/fleet.py
@@ -0,0 +1,164 @@
+"""Commands that ask what the fleet does and why."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+import h11
+
+from hornbeamgw.commands.catalogue import DaemonArg
+from hornbeamgw.commands.client import ask_each, ask_or_fail, living_admins
+from hornbeamgw.commands.daemon import OutputArg
+from hornbeamgw.commands.exits import ExitCode
+from hornbeamgw.commands.output import fail, print_json, print_rows, print_table
+from hornbeamgw.daemon.http1 import ConnectionLost
+
+BAR_WIDTH = 40
+
+
+def _ask_fleet(address: str, path: str, query: dict[str, str] | None = None) -> dict[str, Any]:
+    async def gather() -> dict[str, Any]:
+        return await ask_each(await living_admins(address), path, query)
+
+    try:
+        return asyncio.run(gather())
+    except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError, ValueError) as error:
+        fail(f"daemon {address}: no answer: {error or type(error).__name__}", ExitCode.FAILED)
+
+
+@cappa.command(name="status", help="Show members, versions, laggards and rejected versions.")
+@dataclass
+class Status:
+    """Show the state of the fleet as one daemon and all living ones tell it."""
+
+    daemon: DaemonArg
+    output: OutputArg = "table"
+
+    def __call__(self) -> None:
+        """Show it."""
+        status = ask_or_fail(self.daemon, "GET", "/status")
+        rows = _ask_fleet(self.daemon, "/version")
+        newest = max((row["known"] for row in rows.values() if row), default=0)
+        laggards = [
+            {"admin": admin, **(row or {"waiting_for": "no answer"})}
+            for admin, row in sorted(rows.items())
+            if row is None or row["in_force"] < newest
+        ]
+        rejected = {v: why for row in rows.values() if row for v, why in row["rejected"].items()}
+        document = {
+            "newest": newest,
+            "in_force": Counter(row["in_force"] for row in rows.values() if row),
+            "members": status["members"],
+            "laggards": laggards,
+            "rejected": rejected,
+        }
+        if self.output == "json":
+            print_json(document)
+        else:
+            _print_status(document)
+
+
+def _print_status(document: dict[str, Any]) -> None:
+    versions = ", ".join(f"{n} at {v}" for v, n in sorted(document["in_force"].items()))
+    print(f"newest version {document['newest']}; in force: {versions}")
+    by_place: Counter[tuple[str, str, str]] = Counter(
+        (m["region"], m["data_centre"], m["status"]) for m in document["members"]
+    )
+    places = [
+        {"region": region, "data_centre": data_centre, "status": status, "members": count}
+        for (region, data_centre, status), count in sorted(by_place.items())
+    ]
+    print_table(places, ("region", "data_centre", "status", "members"))
+    columns = ("address", "data_centre", "status", "service", "server_state", "version")
+    print_table(document["members"], columns)
+    for laggard in document["laggards"]:
+        print(f"laggard {laggard['admin']}: {laggard['waiting_for'] or 'behind'}")
+    for version, problems in document["rejected"].items():
+        print(f"rejected version {version}: {'; '.join(problems)}")
+
+
+@cappa.command(name="explain", help="Show which route, limits and servers a request would get.")
+@dataclass
+class Explain:
+    """Explain the decision on a request."""
+
+    method: Annotated[str, cappa.Arg(help="method of the request")]
+    path: Annotated[str, cappa.Arg(help="path of the request")]
+    daemon: DaemonArg
+    host: Annotated[str, cappa.Arg(long=True, help="host of the request")]
+    output: OutputArg = "table"
+
+    def __call__(self) -> None:
+        """Explain it."""
+        query = {"method": self.method, "path": self.path, "host": self.host}
+        document = ask_or_fail(self.daemon, "GET", "/explain", query)
+        if self.output == "json":
+            print_json(document)
+            return
+        endpoints = document.pop("endpoints", [])
+        rows = [{"what": key, "value": value} for key, value in document.items()]
+        print_table(rows, ("what", "value"))
+        print_table(endpoints, ("address", "data_centre", "status", "local", "slots"))
+
+
+@cappa.command(name="histograms", help="Show latency by owner, class and verdict.")
+@dataclass
+class HistogramsCommand:
+    """Show the histograms of one daemon."""
+
+    daemon: DaemonArg
+    output: OutputArg = "table"
+
+    def __call__(self) -> None:
+        """Show them."""
+        rows = ask_or_fail(self.daemon, "GET", "/histograms")
+        columns = ("owner", "class", "verdict", "count", "p50_ms", "p90_ms", "p99_ms", "max_ms")
+        print_rows(rows, columns, self.output)
+
+
+@cappa.command(name="timeline", help="Show when and how each daemon got a version.")
+@dataclass
+class Timeline:
+    """Show the spreading of one version."""
+
+    version: Annotated[int, cappa.Arg(help="version of the catalogue")]
+    daemon: DaemonArg
+    output: OutputArg = "table"
+
+    def __call__(self) -> None:
+        """Show it."""
+        answers = _ask_fleet(self.daemon, "/timeline", {"version": str(self.version)})
+        rows = [row for row in answers.values() if row]
+        if self.output == "json":
+            print_json(rows)
+        else:
+            _print_timeline(rows)
+
+
+def _print_timeline(rows: list[dict[str, Any]]) -> None:
+    known = [row["accepted_at"] for row in rows if row["accepted_at"]]
+    if not known:
+        fail("no daemon remembers this version", ExitCode.FAILED)
+    start = min(known)
+    latest = max((row["in_force_at"] or start for row in rows), default=start)
+    scale = max(latest - start, 0.001)
+    lines = []
+    for row in sorted(rows, key=lambda r: r["in_force_at"] or float("inf")):
+        at = row["in_force_at"]
+        arrival = row["arrival"] or {}
+        lines.append(
+            {
+                "address": row["address"],
+                "data_centre": row["data_centre"],
+                "by": arrival.get("path", row["waiting_for"] or "-"),
+                "from": arrival.get("sender"),
+                "bytes": arrival.get("size"),
+                "ms": None if at is None else round((at - start) * 1000, 1),
+                "chart": "" if at is None else "#" * round((at - start) / scale * BAR_WIDTH),
+            }
+        )
+    print_table(lines, ("address", "data_centre", "by", "from", "bytes", "ms", "chart"))
--- /dev/null
+++ b/hornbeamgw/commands/main.py
@@ -0,0 +1,34 @@
+"""Command line: hornbeamgw."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import cappa
+
+from hornbeamgw.commands.catalogue import CatalogueCommand
+from hornbeamgw.commands.daemon import DaemonCommand, SettingsCommand
+from hornbeamgw.commands.fleet import Explain, HistogramsCommand, Status, Timeline
+
+
+@cappa.command(
+    name="hornbeamgw", help="Distribute a service mesh's configuration, and route by it."
+)
+@dataclass
+class Hornbeamgw:
+    """Choose a command."""
+
+    command: cappa.Subcommands[
+        DaemonCommand
+        | CatalogueCommand
+        | SettingsCommand
+        | Status
+        | Explain
+        | HistogramsCommand
+        | Timeline
+    ]
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(Hornbeamgw)
--- /dev/null
+++ b/hornbeamgw/core/admission.py
@@ -0,0 +1,228 @@
+"""Admission: the only place that lets a request reach a backend server.
+
+It alone knows whether its server drains, has free slots or is cold, so its refusal proves that
+a request did not run. A caller that lost its link asks here by attempt id; a request that was
+never admitted is then fenced, and refused should it arrive late.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from hornbeamgw.core.membership import ServerState
+from hornbeamgw.core.snapshot import Limits
+from hornbeamgw.core.verdict import Failure, Reason, Verdict, not_run
+
+MEMORY_S = 60.0
+MEMORY_MAX = 100_000
+SERVICE_TIME_WEIGHT = 0.1
+FIRST_SERVICE_TIME_S = 0.005
+RETRY_AFTER_DRAIN_MS = 50
+
+
+class AttemptId(NamedTuple):
+    """Identify one attempt of one daemon process."""
+
+    member: str
+    incarnation: int
+    number: int
+
+
+class Request(NamedTuple):
+    """Hold what admission needs to know of an attempt."""
+
+    attempt: AttemptId
+    entry: str
+    limits: Limits
+    deadline: float
+
+
+class Fate(enum.StrEnum):
+    """Say what became of an attempt that was decided here."""
+
+    REFUSED = "refused"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FENCED = "fenced"
+
+
+class Admitted(NamedTuple):
+    """Let a request run now."""
+
+    request: Request
+
+
+class Queued(NamedTuple):
+    """Hold a request until a slot is free."""
+
+    request: Request
+
+
+class Refused(NamedTuple):
+    """Turn a request away; it has not run."""
+
+    request: Request
+    failure: Failure
+
+
+Decision = Admitted | Queued | Refused
+
+
+class _Fate(NamedTuple):
+    fate: Fate
+    at: float
+
+
+class AdmissionState:
+    """Hold the backend server as it announced itself, and what runs and waits there."""
+
+    def __init__(self) -> None:
+        """Start without a backend server."""
+        self.service = ""
+        self.slots = 0
+        self.server_state = ServerState.NONE
+        self.running_by_attempt: dict[AttemptId, Request] = {}
+        self.running_count_by_entry: dict[str, int] = {}
+        self.queue: list[Request] = []
+        self.fates_by_attempt: OrderedDict[AttemptId, _Fate] = OrderedDict()
+        self.reserved_by_entry: Mapping[str, int] = {}
+        self.service_time = FIRST_SERVICE_TIME_S
+
+
+def free_slots(state: AdmissionState) -> int:
+    """Return the slots that nothing runs or waits for."""
+    if state.server_state is not ServerState.SERVING:
+        return 0
+    return max(0, state.slots - len(state.running_by_attempt) - len(state.queue))
+
+
+def _held_for_others(state: AdmissionState, entry: str) -> int:
+    running = state.running_count_by_entry
+    return sum(
+        max(0, reserved - running.get(name, 0))
+        for name, reserved in state.reserved_by_entry.items()
+        if name != entry
+    )
+
+
+def _has_slot(state: AdmissionState, request: Request) -> bool:
+    running = state.running_count_by_entry.get(request.entry, 0)
+    if running >= request.limits.slots:
+        return False
+    free = state.slots - len(state.running_by_attempt)
+    if running < request.limits.reserved:
+        return free > 0
+    return free > _held_for_others(state, request.entry)
+
+
+def _remember(state: AdmissionState, attempt: AttemptId, fate: Fate, now: float) -> None:
+    fates = state.fates_by_attempt
+    fates[attempt] = _Fate(fate, now)
+    fates.move_to_end(attempt)
+    while fates:
+        oldest = next(iter(fates))
+        expired = now - fates[oldest].at > MEMORY_S or len(fates) > MEMORY_MAX
+        if not expired or fates[oldest].fate is Fate.RUNNING:
+            return
+        del fates[oldest]
+
+
+def _refuse(state: AdmissionState, request: Request, reason: Reason, now: float) -> Refused:
+    _remember(state, request.attempt, Fate.REFUSED, now)
+    retry_after_ms = RETRY_AFTER_DRAIN_MS
+    if reason in (Reason.NO_SLOT, Reason.QUEUE_TIMEOUT):
+        retry_after_ms = max(1, round(1000 * state.service_time * (1 + len(state.queue))))
+    return Refused(request, not_run(reason, retry_after_ms=retry_after_ms))
+
+
+def _start(state: AdmissionState, request: Request, now: float) -> Admitted:
+    state.running_by_attempt[request.attempt] = request
+    count = state.running_count_by_entry.get(request.entry, 0)
+    state.running_count_by_entry[request.entry] = count + 1
+    _remember(state, request.attempt, Fate.RUNNING, now)
+    return Admitted(request)
+
+
+def _expected_wait(state: AdmissionState, request: Request) -> float:
+    ahead = sum(queued.deadline <= request.deadline for queued in state.queue)
+    return (ahead + 1) * state.service_time / max(1, state.slots)
+
+
+def admit(state: AdmissionState, request: Request, service: str, now: float) -> Decision:
+    """Decide on a request that has just arrived."""
+    if request.attempt in state.fates_by_attempt:
+        return Refused(request, not_run(Reason.FENCED))
+    if state.server_state is ServerState.DRAINING:
+        return _refuse(state, request, Reason.DRAINING, now)
+    if state.server_state is ServerState.STARTING:
+        return _refuse(state, request, Reason.COLD, now)
+    if state.server_state is ServerState.NONE or state.service != service:
+        return _refuse(state, request, Reason.NO_BACKEND, now)
+    if request.deadline <= now:
+        return _refuse(state, request, Reason.DEADLINE, now)
+    if _has_slot(state, request):
+        return _start(state, request, now)
+    waiting = sum(queued.entry == request.entry for queued in state.queue)
+    if waiting >= request.limits.queue:
+        return _refuse(state, request, Reason.NO_SLOT, now)
+    if now + _expected_wait(state, request) >= request.deadline:
+        return _refuse(state, request, Reason.QUEUE_TIMEOUT, now)
+    state.queue.append(request)
+    return Queued(request)
+
+
+def _drop_late(state: AdmissionState, now: float) -> list[Decision]:
+    late = [r for r in state.queue if now + state.service_time / 2 >= r.deadline]
+    state.queue = [r for r in state.queue if r not in late]
+    return [_refuse(state, request, Reason.QUEUE_TIMEOUT, now) for request in late]
+
+
+def next_decisions(state: AdmissionState, now: float) -> list[Decision]:
+    """Drop queued requests that can't meet their deadline and start those with a slot."""
+    decisions: list[Decision] = _drop_late(state, now) if state.queue else []
+    for request in sorted(state.queue, key=lambda r: r.deadline):
+        if _has_slot(state, request):
+            state.queue.remove(request)
+            decisions.append(_start(state, request, now))
+    return decisions
+
+
+def finish(state: AdmissionState, attempt: AttemptId, started: float, now: float) -> list[Decision]:
+    """Free the slot of a request and return what its end lets happen."""
+    request = state.running_by_attempt.pop(attempt)
+    state.running_count_by_entry[request.entry] -= 1
+    _remember(state, attempt, Fate.FINISHED, now)
+    state.service_time += SERVICE_TIME_WEIGHT * (now - started - state.service_time)
+    return next_decisions(state, now)
+
+
+def withdraw(state: AdmissionState, attempt: AttemptId, now: float) -> bool:
+    """Take a queued request out of the queue; it has not run."""
+    kept = [request for request in state.queue if request.attempt != attempt]
+    found = len(kept) < len(state.queue)
+    state.queue = kept
+    if found:
+        _remember(state, attempt, Fate.REFUSED, now)
+    return found
+
+
+def drain(state: AdmissionState, now: float) -> list[Decision]:
+    """Take no new work from now on and refuse what waits."""
+    state.server_state = ServerState.DRAINING
+    waiting, state.queue = state.queue, []
+    return [_refuse(state, request, Reason.DRAINING, now) for request in waiting]
+
+
+def resolve(state: AdmissionState, attempt: AttemptId, age: float, now: float) -> Verdict:
+    """Answer whether an attempt of this age (s) ran; one never admitted is fenced for good."""
+    known = state.fates_by_attempt.get(attempt)
+    if known is None and age >= MEMORY_S:
+        return Verdict.MAY_HAVE_RUN
+    if known is not None and known.fate in (Fate.RUNNING, Fate.FINISHED):
+        return Verdict.MAY_HAVE_RUN
+    withdraw(state, attempt, now)
+    _remember(state, attempt, Fate.FENCED, now)
+    return Verdict.NOT_RUN
--- /dev/null
+++ b/hornbeamgw/core/catalogue.py
@@ -0,0 +1,195 @@
+"""Catalogue: the entries, services and routes that operators edit."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from hornbeamgw.core.problems import Problem, check_mapping, read_yaml
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Count = Annotated[int, msgspec.Meta(ge=0, le=10_000)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+Host = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9.-]{1,253}$")]
+Prefix = Annotated[str, msgspec.Meta(pattern=r"^/[^\s?#]{0,511}$")]
+Method = Annotated[str, msgspec.Meta(pattern=r"^[A-Z]{1,16}$")]
+DeadlineMs = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+
+
+class LimitsBody(TypedDict):
+    """Hold the limits of an entry at each backend server."""
+
+    slots: Positive
+    reserved: NotRequired[Count]
+    queue: NotRequired[Count]
+
+
+class EntryBody(TypedDict):
+    """Hold an entry: an owner, a class of traffic and its limits."""
+
+    name: Name
+    owner: Name
+    traffic_class: Name
+    limits: LimitsBody
+
+
+class ServiceBody(TypedDict):
+    """Hold a service that backend servers announce."""
+
+    name: Name
+    owner: Name
+
+
+class RouteBody(TypedDict):
+    """Hold a route from host, path prefix and methods to a service and an entry."""
+
+    name: Name
+    host: Host
+    prefix: Prefix
+    methods: list[Method]
+    service: Name
+    entry: Name
+    idempotent: bool
+    deadline_ms: DeadlineMs
+
+
+class CatalogueFile(TypedDict):
+    """Hold what an operator writes in one YAML file."""
+
+    version: NotRequired[int]
+    entries: NotRequired[list[dict[str, Any]]]
+    services: NotRequired[list[dict[str, Any]]]
+    routes: NotRequired[list[dict[str, Any]]]
+
+
+class Item(NamedTuple):
+    """Hold one named thing of the catalogue and the version that last changed it."""
+
+    revision: int
+    body: Mapping[str, Any]
+
+
+Items = Mapping[str, Item]
+
+SHAPES_BY_KIND: Mapping[str, type] = {
+    "entry": EntryBody,
+    "service": ServiceBody,
+    "route": RouteBody,
+}
+SECTIONS_BY_KIND = {"entry": "entries", "service": "services", "route": "routes"}
+MAX_ITEMS = 20_000
+
+
+class ParsedFile(NamedTuple):
+    """Hold a catalogue file: bodies by key, the revisions they name and its version."""
+
+    bodies_by_key: dict[str, dict[str, Any]]
+    revisions_by_key: dict[str, int]
+    version: int | None
+
+
+def digest_of(items: Items) -> str:
+    """Return the hex digest (128 bits) of a whole catalogue."""
+    rows = [[key, items[key].revision, items[key].body] for key in sorted(items)]
+    encoded = msgspec.json.encode(rows, order="sorted")
+    return hashlib.sha256(encoded).hexdigest()[:32]
+
+
+def short_digest(digest: str) -> int:
+    """Return the leading 64 bits of a digest, as control messages carry it."""
+    return int(digest[:16], 16)
+
+
+def parse_file(text: str, source: str) -> tuple[ParsedFile, list[Problem]]:
+    """Read a catalogue file and return its items with all problems of form."""
+    document, problems = read_yaml(text, source)
+    if problems:
+        return ParsedFile({}, {}, None), problems
+    values, problems = check_mapping(document, CatalogueFile, source)
+    bodies: dict[str, dict[str, Any]] = {}
+    revisions: dict[str, int] = {}
+    for kind, section in SECTIONS_BY_KIND.items():
+        for index, raw in enumerate(values.get(section) or []):
+            body = dict(raw)
+            path = f"{section}[{index}]"
+            revision = body.pop("revision", None)
+            key = f"{kind}/{body.get('name')}"
+            if key in bodies:
+                problems.append(Problem(source, f"{path}.name", body["name"], "a unique name"))
+            if revision is not None and (not isinstance(revision, int) or revision < 0):
+                problems.append(Problem(source, f"{path}.revision", revision, "an int >= 0"))
+            elif revision is not None:
+                revisions[key] = revision
+            bodies[key] = body
+            problems += check_body(key, body, source, path)
+    return ParsedFile(bodies, revisions, values.get("version")), problems
+
+
+def check_body(key: str, body: object, source: str, path: str) -> list[Problem]:
+    """Return what is wrong with the form of one item."""
+    kind, _, name = key.partition("/")
+    shape = SHAPES_BY_KIND.get(kind)
+    if shape is None:
+        return [Problem(source, path, key, f"a key of kind {sorted(SHAPES_BY_KIND)}")]
+    values, problems = check_mapping(body, shape, source, path)
+    if not problems and values["name"] != name:
+        problems.append(Problem(source, f"{path}.name", values["name"], f"the name {name!r}"))
+    return problems
+
+
+def _limit_problems(key: str, limits: Mapping[str, int], source: str) -> list[Problem]:
+    reserved = limits.get("reserved", 0)
+    if reserved <= limits["slots"]:
+        return []
+    expected = f"at most limits.slots ({limits['slots']})"
+    return [Problem(source, f"{key}.limits.reserved", reserved, expected)]
+
+
+def _route_problems(key: str, body: Mapping[str, Any], items: Items, source: str) -> list[Problem]:
+    problems = []
+    for kind in ("service", "entry"):
+        target = f"{kind}/{body[kind]}"
+        if target not in items:
+            expected = f"the name of a {kind} in this catalogue"
+            problems.append(Problem(source, f"{key}.{kind}", body[kind], expected))
+    if not body["methods"]:
+        problems.append(Problem(source, f"{key}.methods", [], "at least one method"))
+    return problems
+
+
+def validate(items: Items, source: str = "catalogue") -> list[Problem]:
+    """Return every problem of a whole catalogue: form, names, references and sizes."""
+    problems: list[Problem] = []
+    if len(items) > MAX_ITEMS:
+        problems.append(Problem(source, "(document)", len(items), f"at most {MAX_ITEMS} items"))
+    routes_by_match: dict[tuple[str, str, str], str] = {}
+    for key in sorted(items):
+        body = items[key].body
+        found = check_body(key, body, source, key)
+        problems += found
+        if found:
+            continue
+        if key.startswith("entry/"):
+            problems += _limit_problems(key, body["limits"], source)
+        if key.startswith("route/"):
+            problems += _route_problems(key, body, items, source)
+            for method in body["methods"]:
+                other = routes_by_match.setdefault((body["host"], body["prefix"], method), key)
+                if other != key:
+                    expected = f"a match that {other} does not have already"
+                    problems.append(Problem(source, f"{key}.methods", method, expected))
+    return problems
+
+
+def to_file(items: Items, version: int) -> dict[str, Any]:
+    """Return the catalogue in the form of a file, each item with its revision."""
+    document: dict[str, Any] = {"version": version}
+    for kind, section in SECTIONS_BY_KIND.items():
+        keys = [key for key in sorted(items) if key.startswith(f"{kind}/")]
+        rows = [{**items[key].body, "revision": items[key].revision} for key in keys]
+        if rows:
+            document[section] = rows
+    return document
--- /dev/null
+++ b/hornbeamgw/core/membership.py
@@ -0,0 +1,290 @@
+"""Membership: who is in the fleet, found by probes and spread by gossip.
+
+The protocol follows SWIM (Das, Gupta, Motivala, 2002): direct probes, indirect probes,
+suspicion that the suspect can refute. A member's record also carries the state of the
+backend server beside it, and only that member writes it, ordered by (incarnation, sequence).
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class Status(enum.IntEnum):
+    """Rank what is believed of a member; the higher wins at the same sequence."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class ServerState(enum.IntEnum):
+    """Say what the backend server beside a member is doing."""
+
+    NONE = 0
+    STARTING = 1
+    SERVING = 2
+    DRAINING = 3
+
+
+class Member(NamedTuple):
+    """Hold one daemon and the backend server beside it."""
+
+    address: str
+    data_centre: str
+    region: str
+    incarnation: int
+    sequence: int = 0
+    status: Status = Status.ALIVE
+    service: str = ""
+    server_state: ServerState = ServerState.NONE
+    slots: int = 0
+    version: int = 0
+    admin: str = ""
+
+
+class Probe(NamedTuple):
+    """Ask whether a member is there."""
+
+    nonce: int
+
+
+class Ack(NamedTuple):
+    """Answer a probe."""
+
+    nonce: int
+
+
+class Indirect(NamedTuple):
+    """Ask a member to probe another one."""
+
+    nonce: int
+    target: str
+
+
+ProbeMessage = Probe | Ack | Indirect
+
+
+class Outgoing(NamedTuple):
+    """Hold a message and the address it goes to."""
+
+    to: str
+    message: ProbeMessage
+
+
+class Timing(NamedTuple):
+    """Hold the intervals of the failure detector, in seconds."""
+
+    probe_interval: float = 1.0
+    ack_timeout: float = 0.3
+    suspicion: float = 4.0
+    forget: float = 3600.0
+
+
+INDIRECT_PROBES = 3
+GOSSIP_PER_MESSAGE = 6
+GOSSIP_FACTOR = 3
+RETRY_DEAD_ONE_IN = 10
+
+
+class _Pending(NamedTuple):
+    target: str
+    sent_at: float
+    indirect: bool
+
+
+class MembershipState:
+    """Hold the view of one member."""
+
+    def __init__(self, me: Member, timing: Timing) -> None:
+        """Start with a view of oneself alone."""
+        self.me = me
+        self.timing = timing
+        self.members_by_address: dict[str, Member] = {me.address: me}
+        self.suspected_at_by_address: dict[str, float] = {}
+        self.ended_at_by_address: dict[str, float] = {}
+        self.gossip_left_by_address: dict[str, int] = {}
+        self.pending_by_nonce: dict[int, _Pending] = {}
+        self.relayed_by_nonce: dict[int, tuple[str, int]] = {}
+        self.probe_order: list[str] = []
+        self.next_nonce = 1
+        self.generation = 0
+
+
+def _gossip_count(state: MembershipState) -> int:
+    return GOSSIP_FACTOR * max(1, math.ceil(math.log2(len(state.members_by_address) + 1) / 2))
+
+
+def _store(state: MembershipState, member: Member, now: float) -> None:
+    address = member.address
+    state.members_by_address[address] = member
+    state.gossip_left_by_address[address] = _gossip_count(state)
+    state.generation += 1
+    if member.status is not Status.SUSPECT:
+        state.suspected_at_by_address.pop(address, None)
+    elif address not in state.suspected_at_by_address:
+        state.suspected_at_by_address[address] = now
+    if member.status >= Status.DEAD:
+        state.ended_at_by_address.setdefault(address, now)
+    else:
+        state.ended_at_by_address.pop(address, None)
+
+
+def _order(member: Member) -> tuple[int, int, int]:
+    return member.incarnation, member.sequence, member.status
+
+
+def update_me(state: MembershipState, now: float, **fields: object) -> None:
+    """Change one's own record; its sequence rises so that the new one wins."""
+    me = state.me._replace(sequence=state.me.sequence + 1, **fields)  # type: ignore[arg-type]
+    state.me = me
+    _store(state, me, now)
+
+
+def _merge_me(state: MembershipState, heard: Member, now: float) -> None:
+    if heard.incarnation > state.me.incarnation:
+        update_me(state, now, incarnation=heard.incarnation + 1)
+    elif heard.incarnation == state.me.incarnation and _order(heard) > _order(state.me):
+        state.me = state.me._replace(sequence=heard.sequence)
+        update_me(state, now)
+
+
+def merge(state: MembershipState, heard: Iterable[Member], now: float) -> None:
+    """Take each record that is newer than the one held; refute what is said of oneself."""
+    for member in heard:
+        if member.address == state.me.address:
+            _merge_me(state, member, now)
+            continue
+        held = state.members_by_address.get(member.address)
+        if held is None or _order(member) > _order(held):
+            version = max(member.version, held.version if held else 0)
+            _store(state, member._replace(version=version), now)
+
+
+def note_version(state: MembershipState, address: str, version: int) -> None:
+    """Remember the highest version that an address said it applied."""
+    held = state.members_by_address.get(address)
+    if held is not None and version > held.version:
+        state.members_by_address[address] = held._replace(version=version)
+
+
+def gossip_for(state: MembershipState, recipient: str) -> list[Member]:
+    """Return the records to send along, the recipient's own first where it is doubted."""
+    chosen: list[Member] = []
+    doubted = state.members_by_address.get(recipient)
+    if doubted is not None and doubted.status in (Status.SUSPECT, Status.DEAD):
+        chosen.append(doubted)
+    left = state.gossip_left_by_address
+    for address in sorted(left, key=lambda a: -left[a])[: GOSSIP_PER_MESSAGE - len(chosen)]:
+        left[address] -= 1
+        if left[address] <= 0:
+            del left[address]
+        chosen.append(state.members_by_address[address])
+    return chosen
+
+
+def reachable(state: MembershipState) -> list[Member]:
+    """Return the members that are not known to be dead or gone, oneself included."""
+    return [m for m in state.members_by_address.values() if m.status <= Status.SUSPECT]
+
+
+def _mark(state: MembershipState, address: str, status: Status, now: float) -> None:
+    held = state.members_by_address.get(address)
+    if held is not None and held.status < status:
+        _store(state, held._replace(status=status), now)
+
+
+def _nonce(state: MembershipState) -> int:
+    state.next_nonce = state.next_nonce % 0xFFFFFFFF + 1
+    return state.next_nonce
+
+
+def _next_target(state: MembershipState, rng: random.Random) -> str | None:
+    ended = [a for a, m in state.members_by_address.items() if m.status is Status.DEAD]
+    if ended and rng.randrange(RETRY_DEAD_ONE_IN) == 0:
+        return rng.choice(sorted(ended))
+    for _ in range(2):
+        while state.probe_order:
+            address = state.probe_order.pop()
+            member = state.members_by_address.get(address)
+            if member is not None and member.status <= Status.SUSPECT:
+                return address
+        state.probe_order = sorted(m.address for m in reachable(state) if m is not state.me)
+        state.probe_order = [a for a in state.probe_order if a != state.me.address]
+        rng.shuffle(state.probe_order)
+    return None
+
+
+def _probe(state: MembershipState, target: str, now: float) -> Outgoing:
+    nonce = _nonce(state)
+    state.pending_by_nonce[nonce] = _Pending(target, now, False)
+    return Outgoing(target, Probe(nonce))
+
+
+def _check_pending(state: MembershipState, now: float, rng: random.Random) -> list[Outgoing]:
+    out: list[Outgoing] = []
+    for nonce, pending in list(state.pending_by_nonce.items()):
+        waited = now - pending.sent_at
+        if waited >= state.timing.probe_interval:
+            del state.pending_by_nonce[nonce]
+            _mark(state, pending.target, Status.SUSPECT, now)
+        elif waited >= state.timing.ack_timeout and not pending.indirect:
+            state.pending_by_nonce[nonce] = pending._replace(indirect=True)
+            out += _indirect_probes(state, nonce, pending.target, rng)
+    return out
+
+
+def _indirect_probes(
+    state: MembershipState, nonce: int, target: str, rng: random.Random
+) -> list[Outgoing]:
+    others = sorted(m.address for m in reachable(state))
+    others = [a for a in others if a not in (target, state.me.address)]
+    helpers = rng.sample(others, min(INDIRECT_PROBES, len(others)))
+    return [Outgoing(helper, Indirect(nonce, target)) for helper in helpers]
+
+
+def _end_suspicions(state: MembershipState, now: float) -> None:
+    for address, since in list(state.suspected_at_by_address.items()):
+        if now - since >= state.timing.suspicion:
+            _mark(state, address, Status.DEAD, now)
+    for address, since in list(state.ended_at_by_address.items()):
+        if now - since >= state.timing.forget:
+            del state.ended_at_by_address[address]
+            state.members_by_address.pop(address, None)
+            state.gossip_left_by_address.pop(address, None)
+
+
+def tick(state: MembershipState, now: float, rng: random.Random) -> list[Outgoing]:
+    """Probe the next member; call once a probe interval."""
+    _end_suspicions(state, now)
+    target = _next_target(state, rng)
+    return [] if target is None else [_probe(state, target, now)]
+
+
+def check(state: MembershipState, now: float, rng: random.Random) -> list[Outgoing]:
+    """Follow up probes without an answer; call several times a probe interval."""
+    return _check_pending(state, now, rng)
+
+
+def receive(
+    state: MembershipState, sender: str, message: ProbeMessage, now: float
+) -> list[Outgoing]:
+    """Take a probe message and return the messages that it calls for."""
+    if isinstance(message, Probe):
+        return [Outgoing(sender, Ack(message.nonce))]
+    if isinstance(message, Indirect):
+        nonce = _nonce(state)
+        state.relayed_by_nonce[nonce] = (sender, message.nonce)
+        while len(state.relayed_by_nonce) > 256:
+            del state.relayed_by_nonce[next(iter(state.relayed_by_nonce))]
+        return [Outgoing(message.target, Probe(nonce))]
+    relayed = state.relayed_by_nonce.pop(message.nonce, None)
+    if relayed is not None:
+        return [Outgoing(relayed[0], Ack(relayed[1]))]
+    state.pending_by_nonce.pop(message.nonce, None)
+    return []
--- /dev/null
+++ b/hornbeamgw/core/options.py
@@ -0,0 +1,192 @@
+"""Options: the settings of a daemon, checked whole at start."""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+from collections.abc import Mapping
+from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from hornbeamgw.core.balancing import policies_by_name
+from hornbeamgw.core.problems import Duration, Problem, Size, check_mapping, read_yaml
+
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^\S+:[0-9]{1,5}$")]
+
+ENVIRONMENT_KEYS = {
+    "HORNBEAMGW_ADDRESS": "address",
+    "HORNBEAMGW_CALLERS": "callers",
+    "HORNBEAMGW_ADMIN": "admin",
+    "HORNBEAMGW_DATA_CENTRE": "data_centre",
+    "HORNBEAMGW_REGION": "region",
+}
+
+
+class PlatformFile(TypedDict):
+    """Hold how the platform is reached."""
+
+    address: Address
+    adapter: NotRequired[Text]
+    timeout: NotRequired[Duration]
+    poll: NotRequired[Duration]
+
+
+class MembershipFile(TypedDict):
+    """Hold the intervals of the failure detector."""
+
+    probe_interval: NotRequired[Duration]
+    ack_timeout: NotRequired[Duration]
+    suspicion: NotRequired[Duration]
+
+
+class CallsFile(TypedDict):
+    """Hold how calls are carried."""
+
+    balancing: NotRequired[Text]
+    replay_limit: NotRequired[Size]
+    header_timeout: NotRequired[Duration]
+    idle_timeout: NotRequired[Duration]
+    drain_limit: NotRequired[Duration]
+
+
+class SettingsFile(TypedDict):
+    """Hold a settings file as an operator writes it."""
+
+    fleet: Text
+    data_centre: Text
+    region: Text
+    address: Address
+    callers: Address
+    admin: Address
+    seeds: NotRequired[list[Address]]
+    platform: PlatformFile
+    membership: NotRequired[MembershipFile]
+    calls: NotRequired[CallsFile]
+    statsd: NotRequired[Address]
+    log_level: NotRequired[Text]
+
+
+class Settings(NamedTuple):
+    """Hold effective settings; durations in seconds, sizes in bytes."""
+
+    fleet: str
+    data_centre: str
+    region: str
+    address: str
+    callers: str
+    admin: str
+    platform_address: str
+    seeds: tuple[str, ...] = ()
+    platform_adapter: str = "http"
+    platform_timeout: float = 1.0
+    platform_poll: float = 2.0
+    membership_probe_interval: float = 1.0
+    membership_ack_timeout: float = 0.3
+    membership_suspicion: float = 4.0
+    calls_balancing: str = "two_choice"
+    calls_replay_limit: float = 65_536.0
+    calls_header_timeout: float = 5.0
+    calls_idle_timeout: float = 60.0
+    calls_drain_limit: float = 30.0
+    statsd: str = ""
+    log_level: str = "INFO"
+
+
+class Loaded(NamedTuple):
+    """Hold settings with the source of each value."""
+
+    settings: Settings
+    sources_by_key: Mapping[str, str]
+
+
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _is_address(address: str) -> bool:
+    host, port = split_address(address)
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port <= 65_535
+
+
+def _override(document: Mapping[str, Any], environment: Mapping[str, str]) -> dict[str, Any]:
+    found = {
+        key: environment[name] for name, key in ENVIRONMENT_KEYS.items() if name in environment
+    }
+    return {**document, **found}
+
+
+def _source_of(key: str, source: str, environment: Mapping[str, str]) -> str:
+    for name, overridden in ENVIRONMENT_KEYS.items():
+        if key == overridden and name in environment:
+            return f"environment {name}"
+    return source
+
+
+def _flatten(values: Mapping[str, Any]) -> dict[str, Any]:
+    flat: dict[str, Any] = {}
+    for key, value in values.items():
+        if isinstance(value, dict):
+            flat.update({f"{key}_{name}": inner for name, inner in value.items()})
+        else:
+            flat[key] = tuple(value) if isinstance(value, list) else value
+    return flat
+
+
+def _check_addresses(flat: Mapping[str, Any], source: str) -> list[Problem]:
+    named = [(key, flat.get(key)) for key in ("address", "callers", "admin", "statsd")]
+    named.append(("platform.address", flat.get("platform_address")))
+    named += [(f"seeds[{i}]", seed) for i, seed in enumerate(flat.get("seeds", ()))]
+    expected = "an IP number and a port, such as 10.0.0.7:7400"
+    return [
+        Problem(source, key, value, expected)
+        for key, value in named
+        if value and not _is_address(value)
+    ]
+
+
+def _check_names(flat: Mapping[str, Any], source: str) -> list[Problem]:
+    problems = []
+    policy = flat.get("calls_balancing", "two_choice")
+    if policy not in policies_by_name:
+        expected = f"one of {sorted(policies_by_name)}"
+        problems.append(Problem(source, "calls.balancing", policy, expected))
+    level = flat.get("log_level", "INFO")
+    if level not in LOG_LEVELS:
+        problems.append(Problem(source, "log_level", level, f"one of {list(LOG_LEVELS)}"))
+    return problems
+
+
+def parse_settings(
+    text: str, source: str, environment: Mapping[str, str] | None = None
+) -> tuple[Loaded | None, list[Problem]]:
+    """Return effective settings, or every problem of the file and the environment."""
+    environment = os.environ if environment is None else environment
+    document, problems = read_yaml(text, source)
+    if problems:
+        return None, problems
+    if isinstance(document, Mapping):
+        document = _override(document, environment)
+    values, problems = check_mapping(document, SettingsFile, source)
+    if problems:
+        return None, problems
+    flat = _flatten(values)
+    problems = _check_addresses(flat, source) + _check_names(flat, source)
+    if problems:
+        return None, problems
+    settings = Settings(**flat)
+    sources = {
+        key: _source_of(key, source, environment) if key in flat else "default"
+        for key in Settings._fields
+    }
+    return Loaded(settings, sources), []
--- /dev/null
+++ b/hornbeamgw/core/snapshot.py
@@ -0,0 +1,118 @@
+"""Snapshot: a whole catalogue version compiled for routing."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from hornbeamgw.core.catalogue import Items, validate
+from hornbeamgw.core.problems import Problem
+
+DEFAULT_QUEUE = 16
+
+
+class Limits(NamedTuple):
+    """Hold what an entry may use at one backend server."""
+
+    slots: int
+    reserved: int
+    queue: int
+
+
+class Entry(NamedTuple):
+    """Hold an owner, a class of traffic and its limits."""
+
+    name: str
+    owner: str
+    traffic_class: str
+    limits: Limits
+
+
+class Route(NamedTuple):
+    """Hold a route with the service and entry that it resolves to."""
+
+    name: str
+    host: str
+    prefix: str
+    methods: frozenset[str]
+    service: str
+    entry: Entry
+    idempotent: bool
+    deadline_ms: int
+
+
+class Snapshot(NamedTuple):
+    """Hold one version in force; a call keeps the snapshot that it started with."""
+
+    version: int
+    digest: str
+    services: frozenset[str]
+    entries_by_name: Mapping[str, Entry]
+    routes_by_host: Mapping[str, tuple[Route, ...]]
+
+
+EMPTY = Snapshot(0, "", frozenset(), {}, {})
+
+
+def _entries(items: Items) -> dict[str, Entry]:
+    entries: dict[str, Entry] = {}
+    for key, item in items.items():
+        if not key.startswith("entry/"):
+            continue
+        body, limits = item.body, item.body["limits"]
+        shares = Limits(
+            limits["slots"], limits.get("reserved", 0), limits.get("queue", DEFAULT_QUEUE)
+        )
+        entries[body["name"]] = Entry(body["name"], body["owner"], body["traffic_class"], shares)
+    return entries
+
+
+def _routes(items: Items, entries: Mapping[str, Entry]) -> dict[str, tuple[Route, ...]]:
+    routes_by_host: dict[str, list[Route]] = {}
+    for key, item in items.items():
+        if not key.startswith("route/"):
+            continue
+        body = item.body
+        route = Route(
+            body["name"],
+            body["host"],
+            body["prefix"],
+            frozenset(body["methods"]),
+            body["service"],
+            entries[body["entry"]],
+            body["idempotent"],
+            body["deadline_ms"],
+        )
+        routes_by_host.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(routes, key=lambda route: (-len(route.prefix), route.name)))
+        for host, routes in routes_by_host.items()
+    }
+
+
+def build(version: int, digest: str, items: Items) -> Result[Snapshot, list[Problem]]:
+    """Build a snapshot aside, or return why this version can't be applied."""
+    problems = validate(items, f"version {version}")
+    if problems:
+        return Err(problems)
+    services = frozenset(key.partition("/")[2] for key in items if key.startswith("service/"))
+    entries = _entries(items)
+    return Ok(Snapshot(version, digest, services, entries, _routes(items, entries)))
+
+
+def _covers(prefix: str, path: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    return prefix.endswith("/") or len(path) == len(prefix) or path[len(prefix)] == "/"
+
+
+def match(snapshot: Snapshot, host: str, method: str, target: str) -> Route | None:
+    """Return the route with the longest prefix that takes this request."""
+    path = target.partition("?")[0]
+    name = host.partition(":")[0].lower()
+    for route in snapshot.routes_by_host.get(name, ()):
+        if method in route.methods and _covers(route.prefix, path):
+            return route
+    return None
--- /dev/null
+++ b/hornbeamgw/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: tasks that own sockets and carry the decisions of the core."""
--- /dev/null
+++ b/hornbeamgw/daemon/admin.py
@@ -0,0 +1,253 @@
+"""Admin: what operators and the backend server ask of a daemon over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import resource
+import time
+from collections.abc import Awaitable, Callable
+from typing import Annotated, Any, Literal, NotRequired, TypedDict
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+import msgspec
+
+from hornbeamgw.core import balancing, invariants, membership, versions
+from hornbeamgw.core.catalogue import Name, to_file
+from hornbeamgw.core.edit import Edit, Rejection, decode_delta
+from hornbeamgw.core.membership import ServerState
+from hornbeamgw.core.problems import Problem, check_mapping
+from hornbeamgw.core.snapshot import match
+from hornbeamgw.daemon.calls import Calls
+from hornbeamgw.daemon.committer import Committed, Committer
+from hornbeamgw.daemon.control import Control
+from hornbeamgw.daemon.gate import Announcement, Gate
+from hornbeamgw.daemon.http1 import HttpConnection
+from hornbeamgw.daemon.http_server import ADMIN_BODY_LIMIT, json_response, read_body
+from hornbeamgw.daemon.reader import Reader
+
+log = logging.getLogger(__name__)
+
+
+class AnnouncementBody(TypedDict):
+    """Hold what a backend server sends to announce itself."""
+
+    service: Name
+    address: Annotated[str, msgspec.Meta(pattern=r"^127\.[0-9.]+:[0-9]{1,5}$|^\[::1\]:[0-9]{1,5}$")]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+    state: Literal["starting", "serving", "draining"]
+    ttl_ms: NotRequired[Annotated[int, msgspec.Meta(ge=100, le=600_000)]]
+
+
+DEFAULT_TTL_MS = 10_000
+Query = dict[str, str]
+Handler = Callable[[Query, bytes], Awaitable[tuple[int, Any]]]
+
+
+class Admin:
+    """Answer operators; each path has one function."""
+
+    def __init__(
+        self, control: Control, reader: Reader, committer: Committer, gate: Gate, calls: Calls
+    ) -> None:
+        """Take the parts to ask."""
+        self._control = control
+        self._reader = reader
+        self._committer = committer
+        self._gate = gate
+        self._calls = calls
+        self._handlers_by_path: dict[str, Handler] = {
+            "GET /status": self._status,
+            "GET /version": self._version,
+            "GET /catalogue": self._catalogue,
+            "GET /history": self._history,
+            "GET /explain": self._explain,
+            "GET /histograms": self._histograms,
+            "GET /timeline": self._timeline,
+            "GET /counters": self._counters,
+            "POST /edits": self._edit,
+            "PUT /announce": self._announce,
+            "POST /drain": self._drain,
+        }
+
+    async def on_request(self, connection: HttpConnection, request: h11.Request) -> None:
+        """Answer one request."""
+        body = await read_body(connection, ADMIN_BODY_LIMIT)
+        url = urlsplit(request.target.decode("latin-1"))
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        name = f"{request.method.decode()} {url.path}"
+        handler = self._handlers_by_path.get(name)
+        if handler is None:
+            known = sorted(self._handlers_by_path)
+            json_response(connection, 404, {"error": f"{name!r}: expected one of {known}"})
+            return
+        status, document = await handler(query, body)
+        json_response(connection, status, document)
+
+    async def _version(self, query: Query, body: bytes) -> tuple[int, Any]:
+        return 200, self._own_version()
+
+    def _own_version(self) -> dict[str, Any]:
+        state = self._control.versions
+        return {
+            "address": self._control.view.me.address,
+            "data_centre": self._control.view.me.data_centre,
+            "ready": versions.is_ready(state),
+            "in_force": state.snapshot.version,
+            "known": state.catalogue.version,
+            "digest": state.snapshot.digest,
+            "floor": state.floor,
+            "applied_at": state.applied_at_by_version.get(state.snapshot.version),
+            "rejected": {
+                str(version): [str(problem) for problem in problems]
+                for version, problems in state.rejected_by_version.items()
+            },
+            **self._reader.describe(),
+        }
+
+    async def _status(self, query: Query, body: bytes) -> tuple[int, Any]:
+        view = self._control.view
+        members = [
+            {
+                "address": m.address,
+                "admin": m.admin,
+                "data_centre": m.data_centre,
+                "region": m.region,
+                "status": m.status.name.lower(),
+                "service": m.service,
+                "server_state": m.server_state.name.lower(),
+                "slots": m.slots,
+                "version": m.version,
+            }
+            for m in sorted(view.members_by_address.values())
+        ]
+        for member in members:
+            if member["address"] == view.me.address:
+                member["version"] = self._control.versions.snapshot.version
+        return 200, {"me": self._own_version(), "members": members}
+
+    async def _catalogue(self, query: Query, body: bytes) -> tuple[int, Any]:
+        known = self._control.versions.catalogue
+        items = {key: [item.revision, item.body] for key, item in known.items.items()}
+        document = {"version": known.version, "digest": known.digest, "items": items}
+        return 200, {**document, "file": to_file(known.items, known.version)}
+
+    async def _history(self, query: Query, body: bytes) -> tuple[int, Any]:
+        blobs = self._control.versions.deltas_by_version.values()
+        return 200, [decode_delta(blob) for blob in blobs]
+
+    async def _timeline(self, query: Query, body: bytes) -> tuple[int, Any]:
+        state = self._control.versions
+        version = int(query.get("version", "0") or 0)
+        arrival = state.arrivals_by_version.get(version)
+        document: dict[str, Any] = {"address": self._control.view.me.address}
+        document["data_centre"] = self._control.view.me.data_centre
+        document["in_force_at"] = state.applied_at_by_version.get(version)
+        document["in_force"] = state.snapshot.version
+        document["waiting_for"] = self._reader.describe()["waiting_for"]
+        blob = state.deltas_by_version.get(version)
+        document["accepted_at"] = decode_delta(blob)["at_ms"] / 1000 if blob else None
+        document["arrival"] = arrival._asdict() if arrival else None
+        return 200, document
+
+    async def _explain(self, query: Query, body: bytes) -> tuple[int, Any]:
+        snapshot = self._control.versions.snapshot
+        host, method = query.get("host", ""), query.get("method", "GET")
+        route = match(snapshot, host, method, query.get("path", "/"))
+        document: dict[str, Any] = {"version": snapshot.version}
+        if route is None:
+            known = sorted(snapshot.routes_by_host)
+            why = f"no route takes {method} {query.get('path')!r} of host {host!r}"
+            return 200, {**document, "route": None, "why": why, "hosts": known}
+        members = list(self._control.view.members_by_address.values())
+        endpoints = [
+            {
+                "address": m.address,
+                "data_centre": m.data_centre,
+                "status": m.status.name.lower(),
+                "local": m.data_centre == self._control.view.me.data_centre,
+                "slots": m.slots,
+            }
+            for m in balancing.serving(members, route.service)
+        ]
+        why = f"longest prefix {route.prefix!r} of host {route.host!r} that takes {method}"
+        document |= {"route": route.name, "why": why, "service": route.service}
+        document |= {"entry": route.entry.name, "owner": route.entry.owner}
+        document |= {"class": route.entry.traffic_class, "limits": route.entry.limits._asdict()}
+        document |= {"idempotent": route.idempotent, "deadline_ms": route.deadline_ms}
+        return 200, {**document, "endpoints": endpoints}
+
+    async def _histograms(self, query: Query, body: bytes) -> tuple[int, Any]:
+        return 200, self._calls.histograms.rows()
+
+    async def _counters(self, query: Query, body: bytes) -> tuple[int, Any]:
+        meter = self._control.meter
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return 200, {
+            "at": time.time(),
+            "pid": os.getpid(),
+            "cpu_s": usage.ru_utime + usage.ru_stime,
+            "rss_kb": usage.ru_maxrss,
+            "bytes_in": meter.bytes_in,
+            "bytes_out": meter.bytes_out,
+            "messages_in": meter.messages_in,
+            "messages_out": meter.messages_out,
+            "faults": meter.faults,
+            "invariants": invariants.violations,
+            "calls": self._calls.counts,
+            "gate": self._gate.counts,
+            "platform_reads": self._reader.reads,
+            "members": len(membership.reachable(self._control.view)),
+            "in_force": self._control.versions.snapshot.version,
+            "dangling_routes": invariants.dangling_routes(self._control.versions.snapshot),
+        }
+
+    async def _edit(self, query: Query, body: bytes) -> tuple[int, Any]:
+        try:
+            wanted = msgspec.json.decode(body, type=Edit)
+        except msgspec.MsgspecError as error:
+            return 400, {"error": f"edit: {error}"}
+        outcome = await self._committer.commit(wanted)
+        if isinstance(outcome, Committed):
+            log.info("edit accepted", extra={"edit": wanted["edit_id"], "version": outcome.version})
+            return 200, {"version": outcome.version}
+        if isinstance(outcome, Rejection):
+            problems = [problem._asdict() for problem in outcome.problems]
+            conflicts = [conflict._asdict() for conflict in outcome.conflicts]
+            log.info("edit refused", extra={"edit": wanted["edit_id"]})
+            return 409, {"problems": problems, "conflicts": conflicts}
+        detail = {"verdict": "may_have_run", "detail": outcome.detail}
+        return 503, {**detail, "what_to_do": "send the same edit id again"}
+
+    async def _announce(self, query: Query, body: bytes) -> tuple[int, Any]:
+        try:
+            document = msgspec.json.decode(body)
+        except msgspec.MsgspecError as error:
+            return 400, {"error": f"announce: {error}"}
+        values, problems = check_mapping(document, AnnouncementBody, "announce")
+        if problems:
+            return 400, {"problems": _lines(problems)}
+        ttl = values.get("ttl_ms", DEFAULT_TTL_MS) / 1000
+        announcement = Announcement(
+            values["service"],
+            values["address"],
+            values["slots"],
+            values["connections"],
+            ServerState[values["state"].upper()],
+            asyncio.get_running_loop().time() + ttl,
+        )
+        self._gate.announce(announcement)
+        return 200, {"renew_within_ms": values.get("ttl_ms", DEFAULT_TTL_MS)}
+
+    async def _drain(self, query: Query, body: bytes) -> tuple[int, Any]:
+        """Drain the backend server and answer when nothing of it is in flight."""
+        self._gate.drain("asked by an operator")
+        await self._gate.idle.wait()
+        return 200, {"drained": True}
+
+
+def _lines(problems: list[Problem]) -> list[str]:
+    return [str(problem) for problem in problems]
--- /dev/null
+++ b/hornbeamgw/daemon/attempts.py
@@ -0,0 +1,151 @@
+"""Attempts: calls under way to other daemons, over one kept link to each."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+from hornbeamgw.core.balancing import Load
+from hornbeamgw.core.verdict import Failure, Reason, may_have_run, not_run
+from hornbeamgw.daemon import frames
+from hornbeamgw.daemon.flow import Mailbox, Window
+from hornbeamgw.daemon.link import Link, LinkLost, dial, exchange
+
+log = logging.getLogger(__name__)
+
+DIAL_TIMEOUT_S = 0.5
+RESOLVE_TIMEOUT_S = 1.0
+
+
+class LinkGone(NamedTuple):
+    """Tell an attempt that its link was lost."""
+
+
+class CallerGone(NamedTuple):
+    """Tell an attempt that its caller has left."""
+
+
+class Expired(NamedTuple):
+    """Tell an attempt that its deadline has passed."""
+
+
+Event = frames.Reply | frames.Body | frames.Refusal | LinkGone | CallerGone | Expired
+
+
+class Attempt:
+    """Hold one attempt from its first frame to its last."""
+
+    def __init__(self, number: int, link: Link, load: Load, started: float) -> None:
+        """Take the link that it runs on."""
+        self.number = number
+        self.link = link
+        self.load = load
+        self.started = started
+        self.events: Mailbox[Event] = Mailbox()
+        self.upload = Window(0)
+
+
+class Links:
+    """Own the links to other daemons and match their frames with attempts."""
+
+    def __init__(self, hello: Callable[[], frames.Hello], on_fault: Callable[[str], None]) -> None:
+        """Take one's own hello and what to call for a fault of a link."""
+        self.counts: Counter[str] = Counter()
+        self._hello = hello
+        self._on_fault = on_fault
+        self._links_by_address: dict[str, Link] = {}
+        self._dialling_by_address: dict[str, asyncio.Task[Link]] = {}
+        self._attempts_by_number: dict[int, Attempt] = {}
+        self._next_number = 0
+
+    async def link_to(self, address: str) -> Link:
+        """Return the link to a daemon, opening one where there is none; raise LinkLost."""
+        link = self._links_by_address.get(address)
+        if link is not None and not link.lost:
+            return link
+        task = self._dialling_by_address.get(address)
+        if task is None:
+            task = asyncio.create_task(self._dial(address))
+            self._dialling_by_address[address] = task
+            task.add_done_callback(lambda done: self._dialled(address, done))
+        return await asyncio.shield(task)
+
+    async def _dial(self, address: str) -> Link:
+        return await dial(
+            address, self._hello(), self._on_frame, self._on_lost, self._on_fault, DIAL_TIMEOUT_S
+        )
+
+    def _dialled(self, address: str, task: asyncio.Task[Link]) -> None:
+        self._dialling_by_address.pop(address, None)
+        if not task.cancelled() and task.exception() is None:
+            self._links_by_address[address] = task.result()
+
+    def start(self, link: Link, load: Load, now: float) -> Attempt:
+        """Return a new attempt on a link."""
+        self._next_number += 1
+        attempt = Attempt(self._next_number, link, load, now)
+        self._attempts_by_number[attempt.number] = attempt
+        load.outstanding += 1
+        return attempt
+
+    def end(self, attempt: Attempt) -> None:
+        """Forget an attempt; whatever still comes for it is dropped."""
+        if self._attempts_by_number.pop(attempt.number, None) is not None:
+            attempt.load.outstanding -= 1
+
+    def _on_frame(self, link: Link, frame: frames.Frame) -> None:
+        if not isinstance(frame, frames.Reply | frames.Body | frames.Refusal | frames.Credit):
+            return
+        attempt = self._attempts_by_number.get(frame.attempt)
+        if attempt is None or attempt.link is not link:
+            self.counts["late_frames"] += 1
+        elif isinstance(frame, frames.Credit):
+            attempt.upload.add(frame.size)
+        else:
+            if not isinstance(frame, frames.Body):
+                attempt.load.free_slots = frame.free_slots
+            attempt.events.put(frame)
+
+    def _on_lost(self, link: Link) -> None:
+        self.counts["links_lost"] += 1
+        for attempt in self._attempts_by_number.values():
+            if attempt.link is link:
+                attempt.events.put(LinkGone())
+
+    def check(self, now: float) -> None:
+        """Look for silent links among those that something is waited for on."""
+        waiting = {attempt.link for attempt in self._attempts_by_number.values()}
+        for link in list(self._links_by_address.values()):
+            if link.lost:
+                continue
+            if link in waiting:
+                link.check(now)
+
+    async def resolve(self, address: str, attempt: Attempt, now: float) -> Failure:
+        """Ask on a new link what became of an attempt whose link was lost."""
+        age_ms = max(0, round((now - attempt.started) * 1000))
+        question = frames.Question(attempt.number, age_ms)
+        try:
+            exchanged = await exchange(
+                address, self._hello(), question, self._on_fault, RESOLVE_TIMEOUT_S
+            )
+        except LinkLost as error:
+            self.counts["unresolved"] += 1
+            return may_have_run(Reason.LINK_LOST, str(error))
+        if exchanged.peer != attempt.link.peer:
+            self.counts["resolved_may_have_run"] += 1
+            return may_have_run(Reason.LINK_LOST, "the daemon beside the backend server restarted")
+        answer = exchanged.answer
+        if isinstance(answer, frames.Resolution) and not answer.may_have_run:
+            self.counts["resolved_not_run"] += 1
+            return not_run(Reason.LINK_LOST, "never admitted")
+        self.counts["resolved_may_have_run"] += 1
+        return may_have_run(Reason.LINK_LOST, "admitted before the link was lost")
+
+    def close(self) -> None:
+        """Close every link."""
+        for link in self._links_by_address.values():
+            link.close()
--- /dev/null
+++ b/hornbeamgw/daemon/backend_pool.py
@@ -0,0 +1,73 @@
+"""Connections to the backend server beside this daemon."""
+
+from __future__ import annotations
+
+import asyncio
+
+import h11
+
+from hornbeamgw.daemon.http1 import HttpConnection, dial
+
+IDLE_MAX_S = 10.0
+IDLE_MAX_FIRST_SEND_S = 0.25
+
+
+class BackendPool:
+    """Keep idle connections, and never more in all than the server announced."""
+
+    def __init__(self) -> None:
+        """Start without an address."""
+        self.address = ""
+        self.connections = 0
+        self.opened = 0
+        self._idle: list[tuple[HttpConnection, float]] = []
+        self._open: set[HttpConnection] = set()
+
+    def configure(self, address: str, connections: int) -> None:
+        """Take the address of the server and the most connections it allows."""
+        if address != self.address:
+            self.close_idle()
+        self.address = address
+        self.connections = connections
+
+    async def acquire(self, idempotent: bool) -> HttpConnection:
+        """Return a connection to send on; raise OSError where none can be had.
+
+        A non-idempotent request is not sent on a connection that was idle for long, for the
+        server may have closed it, and then nobody could tell whether the request ran.
+        """
+        now = asyncio.get_running_loop().time()
+        longest = IDLE_MAX_S if idempotent else IDLE_MAX_FIRST_SEND_S
+        while self._idle:
+            connection, since = self._idle.pop()
+            fresh = now - since <= longest
+            if fresh and not connection.lost and connection.poll() is None:
+                return connection
+            self.discard(connection)
+        if len(self._open) >= self.connections:
+            raise ConnectionError(f"all {self.connections} connections are in use")
+        connection = await dial(self.address)
+        self.opened += 1
+        self._open.add(connection)
+        return connection
+
+    def release(self, connection: HttpConnection) -> None:
+        """Keep a connection whose exchange is complete; close any other."""
+        http = connection.http
+        if http.our_state is h11.DONE and http.their_state is h11.DONE and not connection.lost:
+            http.start_next_cycle()
+            self._idle.append((connection, asyncio.get_running_loop().time()))
+        else:
+            self.discard(connection)
+
+    def discard(self, connection: HttpConnection) -> None:
+        """Break a connection; it is never used again."""
+        self._open.discard(connection)
+        connection.abort()
+
+    def close_idle(self) -> None:
+        """Close the idle connections."""
+        for connection, _ in self._idle:
+            self._open.discard(connection)
+            connection.close()
+        self._idle.clear()
--- /dev/null
+++ b/hornbeamgw/daemon/calls.py
@@ -0,0 +1,388 @@
+"""Calls: take requests of callers, choose backend servers, retry, and answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import uuid
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+import h11
+import msgspec
+
+from hornbeamgw.core import balancing, retrying
+from hornbeamgw.core.balancing import Candidate, Load, Policy
+from hornbeamgw.core.membership import Member
+from hornbeamgw.core.snapshot import Route, Snapshot, match
+from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
+from hornbeamgw.daemon import frames, heads
+from hornbeamgw.daemon.attempts import Attempt, CallerGone, Expired, LinkGone, Links
+from hornbeamgw.daemon.histograms import Histograms
+from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end, header
+from hornbeamgw.daemon.http_server import send_response
+from hornbeamgw.daemon.link import LinkLost
+
+log = logging.getLogger(__name__)
+
+GATE_MARGIN = 0.05
+GATE_MARGIN_MAX_S = 0.02
+NOT_READY_RETRY_MS = 1000
+NO_ENDPOINT_RETRY_MS = 200
+MAX_RETRY_BUDGET = 10
+
+_STATUS_BY_REASON = {
+    Reason.NO_ROUTE: 404,
+    Reason.BAD_REQUEST: 400,
+    Reason.DEADLINE: 504,
+    Reason.BACKEND_BROKE: 502,
+    Reason.LINK_LOST: 502,
+}
+_DEFAULT_STATUS = 503
+
+
+class View(NamedTuple):
+    """Hold what a call is decided on, as it stands when the call arrives."""
+
+    ready: bool
+    snapshot: Snapshot
+    me: Member
+    members: Sequence[Member]
+    generation: int
+
+
+class _Call:
+    """Hold one call of a caller."""
+
+    def __init__(
+        self, call_id: str, route: Route, head: heads.RequestHead, deadline: float, budget: int
+    ) -> None:
+        self.call_id = call_id
+        self.route = route
+        self.head = head
+        self.deadline = deadline
+        self.budget = budget
+        self.body = b""
+        self.body_complete = False
+        self.started_stream = False
+        self.current: Attempt | None = None
+        self.caller_gone = False
+        self.expired = False
+        self.tried: list[str] = []
+
+
+class Calls:
+    """Own the callers' connections and what this daemon saw of each backend server."""
+
+    def __init__(
+        self,
+        view: Callable[[], View],
+        links: Links,
+        policy: Policy,
+        replay_limit: int,
+        rng: random.Random,
+    ) -> None:
+        """Take the view to decide on, the links to other daemons and the balancing policy."""
+        self.counts: Counter[str] = Counter()
+        self.histograms = Histograms()
+        self.draining = False
+        self._view = view
+        self._links = links
+        self._policy = policy
+        self._replay_limit = replay_limit
+        self._rng = rng
+        self._loads_by_address: dict[str, Load] = {}
+        self._serving_at = -1
+        self._serving_by_service: dict[str, list[Member]] = {}
+
+    async def on_request(self, connection: HttpConnection, request: h11.Request) -> None:
+        """Answer one request of a caller."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        view = self._view()
+        call_id = _call_id(request)
+        found = self._open(view, request, call_id, started)
+        if isinstance(found, Failure):
+            self._count(found, None, call_id)
+            self._fail(connection, found, call_id)
+            return
+        await self._read_body(connection, found)
+        timer = loop.call_at(found.deadline, self._expire, found)
+        connection.on_lost = lambda: self._leave(found)
+        try:
+            failure = await self._attempt_until_done(connection, found, view)
+        finally:
+            timer.cancel()
+            connection.on_lost = None
+        owner = (found.route.entry.owner, found.route.entry.traffic_class)
+        elapsed = loop.time() - started
+        verdict = Verdict.ANSWERED if failure is None else failure.verdict
+        self.histograms.record(owner, verdict, elapsed)
+        self.counts[f"calls.{verdict}"] += 1
+        if failure is not None:
+            self._count(failure, found, call_id)
+            self._fail(connection, failure, call_id)
+
+    def _open(self, view: View, request: h11.Request, call_id: str, now: float) -> _Call | Failure:
+        if not view.ready:
+            return not_run(Reason.NOT_READY, "no version in force", NOT_READY_RETRY_MS)
+        host = (header(request.headers, b"host") or b"").decode("latin-1")
+        method, target = request.method.decode(), request.target.decode("latin-1")
+        route = match(view.snapshot, host, method, target)
+        if route is None:
+            return not_run(Reason.NO_ROUTE, f"{method} {host}{target.partition('?')[0]}")
+        allowed = _number(request, heads.DEADLINE_MS, route.deadline_ms)
+        budget = _number(request, heads.RETRY_BUDGET, retrying.DEFAULT_BUDGET)
+        deadline = now + min(allowed, route.deadline_ms) / 1000
+        kept = [h for h in end_to_end(request.headers) if h[0] not in heads.OWN_HEADERS]
+        kept = [h for h in kept if h[0] != b"expect"]
+        head = heads.RequestHead(request.method, request.target, kept)
+        return _Call(call_id, route, head, deadline, min(budget, MAX_RETRY_BUDGET))
+
+    async def _read_body(self, connection: HttpConnection, call: _Call) -> None:
+        chunks: list[bytes] = []
+        size = 0
+        _answer_expect(connection)
+        while size <= self._replay_limit:
+            event = await connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                call.body_complete = True
+                break
+            if isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+                size += len(event.data)
+        call.body = b"".join(chunks)
+
+    def _expire(self, call: _Call) -> None:
+        call.expired = True
+        if call.current is not None:
+            call.current.events.put(Expired())
+
+    def _leave(self, call: _Call) -> None:
+        call.caller_gone = True
+        if call.current is not None:
+            call.current.events.put(CallerGone())
+
+    async def _attempt_until_done(
+        self, connection: HttpConnection, call: _Call, view: View
+    ) -> Failure | None:
+        loop = asyncio.get_running_loop()
+        verdict = Verdict.NOT_RUN
+        while True:
+            failure = await self._attempt(connection, call, view)
+            if failure is None:
+                return None
+            failure = retrying.combine(verdict, failure)
+            verdict = failure.verdict
+            if call.caller_gone or call.started_stream:
+                return failure
+            now = loop.time()
+            retry = retrying.after(
+                failure,
+                call.route.idempotent,
+                len(call.tried) or 1,
+                call.budget,
+                call.deadline - now,
+                self._rng,
+            )
+            if retry is None:
+                return failure
+            call.budget -= 1
+            self.counts["retries"] += 1
+            log.debug(
+                "retry", extra={"call_id": call.call_id, "failure": failure, "delay": retry.delay}
+            )
+            await asyncio.sleep(retry.delay)
+            view = self._view()._replace(snapshot=view.snapshot)
+
+    def _candidates(self, view: View, service: str, now: float) -> list[Candidate]:
+        if view.generation != self._serving_at:
+            self._serving_at = view.generation
+            self._serving_by_service.clear()
+        members = self._serving_by_service.get(service)
+        if members is None:
+            members = balancing.serving(view.members, service)
+            self._serving_by_service[service] = members
+        loads = self._loads_by_address
+        return [Candidate(m, loads.get(m.address) or self._load(m, now)) for m in members]
+
+    def _load(self, member: Member, now: float) -> Load:
+        return self._loads_by_address.setdefault(member.address, Load(now))
+
+    async def _attempt(self, connection: HttpConnection, call: _Call, view: View) -> Failure | None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        candidates = self._candidates(view, call.route.service, now)
+        chosen = balancing.choose(view.me, candidates, call.tried, self._policy, now, self._rng)
+        if chosen is None:
+            detail = f"no backend server of {call.route.service} is known"
+            return not_run(Reason.NO_BACKEND, detail, NO_ENDPOINT_RETRY_MS)
+        address = chosen.member.address
+        call.tried.append(address)
+        try:
+            link = await self._links.link_to(address)
+        except LinkLost as error:
+            balancing.note_failure(chosen.load, loop.time())
+            return not_run(Reason.BACKEND_UNREACHABLE, str(error), NO_ENDPOINT_RETRY_MS)
+        now = loop.time()
+        remaining = call.deadline - now
+        if remaining <= 0 or call.caller_gone:
+            return not_run(Reason.CALLER_GONE if call.caller_gone else Reason.DEADLINE)
+        attempt = self._links.start(link, chosen.load, now)
+        call.current = attempt
+        try:
+            self._send_call(attempt, call, remaining)
+            return await self._await_answer(connection, call, attempt, address)
+        finally:
+            call.current = None
+            self._links.end(attempt)
+
+    def _send_call(self, attempt: Attempt, call: _Call, remaining: float) -> None:
+        margin = min(GATE_MARGIN_MAX_S, remaining * GATE_MARGIN)
+        frame = frames.Call(
+            attempt.number,
+            call.call_id,
+            call.route.service,
+            call.route.entry.name,
+            call.route.idempotent,
+            max(1, round((remaining - margin) * 1000)),
+            call.budget,
+            heads.encode_request(call.head),
+            call.body,
+            call.body_complete,
+        )
+        attempt.link.send(frame)
+
+    async def _await_answer(
+        self, connection: HttpConnection, call: _Call, attempt: Attempt, address: str
+    ) -> Failure | None:
+        loop = asyncio.get_running_loop()
+        upload: asyncio.Task[None] | None = None
+        if not call.body_complete:
+            upload = asyncio.create_task(self._upload(connection, call, attempt))
+        try:
+            event = await attempt.events.get()
+            if isinstance(event, frames.Reply):
+                balancing.note_success(attempt.load)
+                await self._relay(connection, call, attempt, event)
+                return None
+            failure = await self._failure_of(event, attempt, address)
+        finally:
+            if upload is not None:
+                upload.cancel()
+        if failure.reason in (Reason.BACKEND_BROKE, Reason.LINK_LOST, Reason.BACKEND_UNREACHABLE):
+            balancing.note_failure(attempt.load, loop.time())
+        return failure
+
+    async def _failure_of(self, event: object, attempt: Attempt, address: str) -> Failure:
+        if isinstance(event, frames.Refusal):
+            return event.failure
+        if isinstance(event, LinkGone):
+            now = asyncio.get_running_loop().time()
+            return await self._links.resolve(address, attempt, now)
+        attempt.link.send(frames.Cancel(attempt.number))
+        if isinstance(event, CallerGone):
+            return may_have_run(Reason.CALLER_GONE)
+        return may_have_run(Reason.DEADLINE, "no answer within the deadline")
+
+    async def _upload(self, connection: HttpConnection, call: _Call, attempt: Attempt) -> None:
+        while True:
+            await attempt.upload.take(0)
+            call.started_stream = True
+            event = await connection.next_event()
+            if isinstance(event, h11.Data):
+                await attempt.upload.take(len(event.data))
+                attempt.link.send(frames.Body(attempt.number, bytes(event.data), False))
+            elif isinstance(event, h11.EndOfMessage):
+                attempt.link.send(frames.Body(attempt.number, b"", True))
+                return
+
+    async def _relay(
+        self, connection: HttpConnection, call: _Call, attempt: Attempt, reply: frames.Reply
+    ) -> None:
+        headers = heads.decode_headers(reply.head)
+        headers.append((heads.CALL_ID, call.call_id.encode()))
+        if self.draining:
+            headers.append((b"connection", b"close"))
+        events: list[h11.Event] = [h11.Response(status_code=reply.status, headers=headers)]
+        if reply.body:
+            events.append(h11.Data(data=reply.body))
+        if reply.end:
+            events.append(h11.EndOfMessage())
+        try:
+            connection.send(*events)
+            if not reply.end:
+                attempt.link.send(frames.Credit(attempt.number, len(reply.body)))
+                await self._relay_rest(connection, attempt)
+        except (ConnectionLost, h11.LocalProtocolError) as error:
+            self.counts["broken_answers"] += 1
+            log.warning("answer broken off", extra={"call_id": call.call_id, "error": str(error)})
+            attempt.link.send(frames.Cancel(attempt.number))
+            connection.abort()
+
+    async def _relay_rest(self, connection: HttpConnection, attempt: Attempt) -> None:
+        while True:
+            event = await attempt.events.get()
+            if not isinstance(event, frames.Body):
+                raise ConnectionLost(f"{type(event).__name__} before the end of the answer")
+            if event.data:
+                connection.send(h11.Data(data=event.data))
+                await connection.drain()
+                attempt.link.send(frames.Credit(attempt.number, len(event.data)))
+            if event.end:
+                connection.send(h11.EndOfMessage())
+                return
+
+    def _count(self, failure: Failure, call: _Call | None, call_id: str) -> None:
+        self.counts[f"failed.{failure.reason}"] += 1
+        log.info(
+            "call failed",
+            extra={
+                "call_id": call_id,
+                "verdict": failure.verdict,
+                "reason": failure.reason,
+                "detail": failure.detail,
+                "route": call.route.name if call else None,
+                "tried": call.tried if call else [],
+            },
+        )
+
+    def _fail(self, connection: HttpConnection, failure: Failure, call_id: str) -> None:
+        status = _STATUS_BY_REASON.get(failure.reason, _DEFAULT_STATUS)
+        headers = [
+            (b"content-type", b"application/json"),
+            (heads.VERDICT, failure.verdict.encode()),
+            (heads.REASON, failure.reason.encode()),
+            (heads.CALL_ID, call_id.encode()),
+        ]
+        if failure.retry_after_ms:
+            seconds = -(-failure.retry_after_ms // 1000)
+            headers.append((b"retry-after", str(seconds).encode()))
+            headers.append((heads.RETRY_AFTER_MS, str(failure.retry_after_ms).encode()))
+        body = msgspec.json.encode(
+            {
+                "verdict": failure.verdict,
+                "reason": failure.reason,
+                "detail": failure.detail,
+                "call_id": call_id,
+            }
+        )
+        unread = connection.http.their_state is h11.SEND_BODY
+        send_response(connection, status, headers, body, close=unread or self.draining)
+
+
+def _call_id(request: h11.Request) -> str:
+    given = header(request.headers, heads.CALL_ID)
+    return given.decode("latin-1")[:64] if given else uuid.uuid4().hex[:16]
+
+
+def _number(request: h11.Request, name: bytes, default: int) -> int:
+    given = header(request.headers, name)
+    return int(given) if given is not None and given.isdigit() else default
+
+
+def _answer_expect(connection: HttpConnection) -> None:
+    if connection.http.they_are_waiting_for_100_continue:
+        connection.send(h11.InformationalResponse(status_code=100, headers=[]))
--- /dev/null
+++ b/hornbeamgw/daemon/codec.py
@@ -0,0 +1,318 @@
+"""Codec: frames and datagrams in Cap'n Proto, by pycapnp."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Sequence
+from importlib import resources
+from typing import Any, NamedTuple
+
+import capnp
+
+from hornbeamgw.core.membership import Ack, Indirect, Member, Probe, ServerState, Status
+from hornbeamgw.core.spreading import Have, Push, Scope
+from hornbeamgw.core.verdict import Failure, Reason, Verdict
+from hornbeamgw.daemon import frames
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(resources.files("hornbeamgw") / "schema" / "messages.capnp"))
+
+MAX_FRAME = 16 * 1024 * 1024
+LENGTH_BYTES = 4
+
+DatagramMessage = Probe | Ack | Indirect | Push | Have
+
+
+class CodecError(ValueError):
+    """Say that bytes are no message of this protocol."""
+
+
+class Datagram(NamedTuple):
+    """Hold a control message with the sender's version and gossip."""
+
+    sender: str
+    version: int
+    digest: int
+    gossip: Sequence[Member]
+    message: DatagramMessage
+
+
+def fleet_hash(fleet: str) -> int:
+    """Return the number that stands for a fleet in a datagram."""
+    return int.from_bytes(hashlib.blake2b(fleet.encode(), digest_size=8).digest(), "big")
+
+
+def _write_member(out: Any, member: Member) -> None:
+    out.address = member.address
+    out.dataCentre = member.data_centre
+    out.region = member.region
+    out.incarnation = member.incarnation
+    out.sequence = member.sequence
+    out.status = int(member.status)
+    out.service = member.service
+    out.serverState = int(member.server_state)
+    out.slots = member.slots
+    out.version = member.version
+    out.admin = member.admin
+
+
+def _read_member(raw: Any) -> Member:
+    return Member(
+        raw.address,
+        raw.dataCentre,
+        raw.region,
+        raw.incarnation,
+        raw.sequence,
+        Status(raw.status),
+        raw.service,
+        ServerState(raw.serverState),
+        raw.slots,
+        raw.version,
+        raw.admin,
+    )
+
+
+def _write_members(out: Any, members: Sequence[Member]) -> None:
+    for index, member in enumerate(members):
+        _write_member(out[index], member)
+
+
+def _write_hello(out: Any, f: frames.Hello) -> None:
+    hello = out.init("hello")
+    hello.fleet, hello.member, hello.incarnation = f.fleet, f.member, f.incarnation
+
+
+def _write_heartbeat(out: Any, f: frames.Heartbeat) -> None:
+    out.heartbeat = f.asks
+
+
+def _write_call(out: Any, f: frames.Call) -> None:
+    call = out.init("call")
+    call.attempt = f.attempt
+    call.callId = f.call_id
+    call.service = f.service
+    call.entry = f.entry
+    call.idempotent = f.idempotent
+    call.deadlineMs = f.deadline_ms
+    call.retryBudget = f.retry_budget
+    call.head = f.head
+    call.body = f.body
+    call.end = f.end
+
+
+def _write_body(out: Any, f: frames.Body) -> None:
+    body = out.init("body")
+    body.attempt, body.data, body.end = f.attempt, f.data, f.end
+
+
+def _write_reply(out: Any, f: frames.Reply) -> None:
+    reply = out.init("reply")
+    reply.attempt = f.attempt
+    reply.status = f.status
+    reply.head = f.head
+    reply.body = f.body
+    reply.end = f.end
+    reply.freeSlots = f.free_slots
+
+
+def _write_refusal(out: Any, f: frames.Refusal) -> None:
+    refusal = out.init("refusal")
+    refusal.attempt = f.attempt
+    refusal.mayHaveRun = f.failure.verdict is not Verdict.NOT_RUN
+    refusal.reason = f.failure.reason
+    refusal.detail = f.failure.detail
+    refusal.retryAfterMs = f.failure.retry_after_ms
+    refusal.freeSlots = f.free_slots
+
+
+def _write_credit(out: Any, f: frames.Credit) -> None:
+    credit = out.init("credit")
+    credit.attempt, credit.bytes = f.attempt, f.size
+
+
+def _write_cancel(out: Any, f: frames.Cancel) -> None:
+    out.cancel = f.attempt
+
+
+def _write_question(out: Any, f: frames.Question) -> None:
+    question = out.init("question")
+    question.attempt, question.ageMs = f.attempt, f.age_ms
+
+
+def _write_resolution(out: Any, f: frames.Resolution) -> None:
+    resolution = out.init("resolution")
+    resolution.attempt, resolution.mayHaveRun = f.attempt, f.may_have_run
+
+
+def _write_pull(out: Any, f: frames.Pull) -> None:
+    out.pull = f.version
+
+
+def _write_deltas(out: Any, f: frames.Deltas) -> None:
+    blobs = out.init("deltas", len(f.blobs))
+    for index, blob in enumerate(f.blobs):
+        blobs[index] = blob
+
+
+def _write_whole(out: Any, f: frames.WholeCatalogue) -> None:
+    out.snapshot = f.blob
+
+
+def _write_view_request(out: Any, f: frames.ViewRequest) -> None:
+    _write_member(out.init("viewRequest"), f.member)
+
+
+def _write_view(out: Any, f: frames.View) -> None:
+    _write_members(out.init("view", len(f.members)), f.members)
+
+
+def _write_floor_request(out: Any, f: frames.FloorRequest) -> None:
+    out.floorRequest = f.address
+
+
+def _write_floor(out: Any, f: frames.Floor) -> None:
+    floor = out.init("floor")
+    floor.version, floor.confirmed = f.version, f.confirmed
+
+
+_writers_by_type: dict[type, Callable[[Any, Any], None]] = {
+    frames.Hello: _write_hello,
+    frames.Heartbeat: _write_heartbeat,
+    frames.Call: _write_call,
+    frames.Body: _write_body,
+    frames.Reply: _write_reply,
+    frames.Refusal: _write_refusal,
+    frames.Credit: _write_credit,
+    frames.Cancel: _write_cancel,
+    frames.Question: _write_question,
+    frames.Resolution: _write_resolution,
+    frames.Pull: _write_pull,
+    frames.Deltas: _write_deltas,
+    frames.WholeCatalogue: _write_whole,
+    frames.ViewRequest: _write_view_request,
+    frames.View: _write_view,
+    frames.FloorRequest: _write_floor_request,
+    frames.Floor: _write_floor,
+}
+
+
+def _read_call(c: Any) -> frames.Call:
+    return frames.Call(
+        c.attempt,
+        c.callId,
+        c.service,
+        c.entry,
+        c.idempotent,
+        c.deadlineMs,
+        c.retryBudget,
+        c.head,
+        c.body,
+        c.end,
+    )
+
+
+def _read_refusal(r: Any) -> frames.Refusal:
+    verdict = Verdict.MAY_HAVE_RUN if r.mayHaveRun else Verdict.NOT_RUN
+    failure = Failure(verdict, Reason(r.reason), r.detail, r.retryAfterMs)
+    return frames.Refusal(r.attempt, failure, r.freeSlots)
+
+
+_readers_by_kind: dict[str, Callable[[Any], frames.Frame]] = {
+    "hello": lambda h: frames.Hello(h.fleet, h.member, h.incarnation),
+    "heartbeat": frames.Heartbeat,
+    "call": _read_call,
+    "body": lambda b: frames.Body(b.attempt, b.data, b.end),
+    "reply": lambda r: frames.Reply(r.attempt, r.status, r.head, r.body, r.end, r.freeSlots),
+    "refusal": _read_refusal,
+    "credit": lambda c: frames.Credit(c.attempt, c.bytes),
+    "cancel": frames.Cancel,
+    "question": lambda q: frames.Question(q.attempt, q.ageMs),
+    "resolution": lambda r: frames.Resolution(r.attempt, r.mayHaveRun),
+    "pull": frames.Pull,
+    "deltas": lambda blobs: frames.Deltas(list(blobs)),
+    "snapshot": frames.WholeCatalogue,
+    "viewRequest": lambda m: frames.ViewRequest(_read_member(m)),
+    "view": lambda members: frames.View([_read_member(m) for m in members]),
+    "floorRequest": frames.FloorRequest,
+    "floor": lambda f: frames.Floor(f.version, f.confirmed),
+}
+
+
+def encode_frame(frame: frames.Frame) -> bytes:
+    """Return a frame with its length before it."""
+    message = _schema.Frame.new_message()
+    _writers_by_type[type(frame)](message, frame)
+    payload: bytes = message.to_bytes()
+    return len(payload).to_bytes(LENGTH_BYTES, "big") + payload
+
+
+def decode_frame(payload: bytes) -> frames.Frame:
+    """Return the frame in a payload; raise CodecError where it is none."""
+    try:
+        with _schema.Frame.from_bytes(payload) as message:
+            kind = message.which()
+            return _readers_by_kind[str(kind)](getattr(message, str(kind)))
+    except (capnp.KjException, ValueError, KeyError, UnicodeError) as error:
+        raise CodecError(f"not a frame: {error}") from error
+
+
+def _write_push(out: Any, push: Push) -> None:
+    raw = out.init("push")
+    raw.version, raw.scope, raw.low, raw.high = push.version, int(push.scope), push.low, push.high
+    raw.delta = push.delta
+
+
+def _write_message(out: Any, message: DatagramMessage) -> None:
+    if isinstance(message, Probe):
+        out.probe = message.nonce
+    elif isinstance(message, Ack):
+        out.ack = message.nonce
+    elif isinstance(message, Indirect):
+        indirect = out.init("indirect")
+        indirect.nonce, indirect.target = message.nonce, message.target
+    elif isinstance(message, Push):
+        _write_push(out, message)
+    else:
+        out.have = True
+
+
+def encode_datagram(fleet: int, datagram: Datagram) -> bytes:
+    """Return a datagram in packed form."""
+    out = _schema.Datagram.new_message()
+    out.fleet = fleet
+    out.sender = datagram.sender
+    out.version = datagram.version
+    out.digest = datagram.digest
+    if datagram.gossip:
+        _write_members(out.init("gossip", len(datagram.gossip)), datagram.gossip)
+    _write_message(out, datagram.message)
+    packed: bytes = out.to_bytes_packed()
+    return packed
+
+
+def _read_message(raw: Any) -> DatagramMessage:
+    kind = str(raw.which())
+    if kind == "probe":
+        return Probe(raw.probe)
+    if kind == "ack":
+        return Ack(raw.ack)
+    if kind == "indirect":
+        return Indirect(raw.indirect.nonce, raw.indirect.target)
+    if kind == "push":
+        push = raw.push
+        return Push(push.version, Scope(push.scope), push.low, push.high, push.delta)
+    return Have()
+
+
+def decode_datagram(fleet: int, payload: bytes) -> Datagram:
+    """Return the datagram in a payload; raise CodecError where it is none of this fleet."""
+    try:
+        raw = _schema.Datagram.from_bytes_packed(payload)
+        if raw.fleet != fleet:
+            raise CodecError("a datagram of another fleet")
+        gossip = [_read_member(member) for member in raw.gossip]
+        return Datagram(raw.sender, raw.version, raw.digest, gossip, _read_message(raw))
+    except CodecError:
+        raise
+    except (capnp.KjException, ValueError, UnicodeError) as error:
+        raise CodecError(f"not a datagram: {error}") from error
--- /dev/null
+++ b/hornbeamgw/daemon/frames.py
@@ -0,0 +1,156 @@
+"""Frames: the typed messages on a TCP link between two daemons."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from hornbeamgw.core.membership import Member
+from hornbeamgw.core.verdict import Failure
+
+
+class Hello(NamedTuple):
+    """Open a link: the first frame of either side."""
+
+    fleet: str
+    member: str
+    incarnation: int
+
+
+class Heartbeat(NamedTuple):
+    """Show that a link is alive; one that asks is answered by one that does not."""
+
+    asks: bool
+
+
+class Call(NamedTuple):
+    """Ask for an attempt: the head of the request and the start of its body."""
+
+    attempt: int
+    call_id: str
+    service: str
+    entry: str
+    idempotent: bool
+    deadline_ms: int
+    retry_budget: int
+    head: bytes
+    body: bytes
+    end: bool
+
+
+class Body(NamedTuple):
+    """Carry more of a request's or a reply's body."""
+
+    attempt: int
+    data: bytes
+    end: bool
+
+
+class Reply(NamedTuple):
+    """Carry the head and the start of the body of an answer."""
+
+    attempt: int
+    status: int
+    head: bytes
+    body: bytes
+    end: bool
+    free_slots: int
+
+
+class Refusal(NamedTuple):
+    """End an attempt without an answer."""
+
+    attempt: int
+    failure: Failure
+    free_slots: int
+
+
+class Credit(NamedTuple):
+    """Let the other side send more of a body (bytes)."""
+
+    attempt: int
+    size: int
+
+
+class Cancel(NamedTuple):
+    """Give up an attempt."""
+
+    attempt: int
+
+
+class Question(NamedTuple):
+    """Ask what became of an attempt whose link was lost."""
+
+    attempt: int
+    age_ms: int
+
+
+class Resolution(NamedTuple):
+    """Answer a question: whether the attempt may have run."""
+
+    attempt: int
+    may_have_run: bool
+
+
+class Pull(NamedTuple):
+    """Ask for what follows a version."""
+
+    version: int
+
+
+class Deltas(NamedTuple):
+    """Answer a pull with consecutive deltas."""
+
+    blobs: Sequence[bytes]
+
+
+class WholeCatalogue(NamedTuple):
+    """Answer a pull with a whole catalogue."""
+
+    blob: bytes
+
+
+class ViewRequest(NamedTuple):
+    """Join or reconcile: one's own record, answered by a view."""
+
+    member: Member
+
+
+class View(NamedTuple):
+    """Carry every member that the sender knows."""
+
+    members: Sequence[Member]
+
+
+class FloorRequest(NamedTuple):
+    """Ask below which version the daemon at an address must not go."""
+
+    address: str
+
+
+class Floor(NamedTuple):
+    """Answer with a version; confirmed by a read of the platform begun after the request."""
+
+    version: int
+    confirmed: bool
+
+
+Frame = (
+    Hello
+    | Heartbeat
+    | Call
+    | Body
+    | Reply
+    | Refusal
+    | Credit
+    | Cancel
+    | Question
+    | Resolution
+    | Pull
+    | Deltas
+    | WholeCatalogue
+    | ViewRequest
+    | View
+    | FloorRequest
+    | Floor
+)
--- /dev/null
+++ b/hornbeamgw/daemon/gate.py
@@ -0,0 +1,347 @@
+"""Gate: admits calls from other daemons and carries them to the backend server beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+import h11
+import msgspec
+
+from hornbeamgw.core import admission
+from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
+from hornbeamgw.core.membership import ServerState
+from hornbeamgw.core.snapshot import Limits, Snapshot
+from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
+from hornbeamgw.daemon import frames, heads
+from hornbeamgw.daemon.backend_pool import BackendPool
+from hornbeamgw.daemon.flow import WINDOW, Mailbox, Window
+from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end, header
+from hornbeamgw.daemon.link import Link
+
+log = logging.getLogger(__name__)
+
+RETRY_AFTER_NOT_READY_MS = 20
+
+
+class Announcement(NamedTuple):
+    """Hold what a backend server says of itself."""
+
+    service: str
+    address: str
+    slots: int
+    connections: int
+    state: ServerState
+    expires_at: float
+
+
+class _Attempt:
+    """Hold one attempt of another daemon, from its arrival to its end."""
+
+    def __init__(self, attempt: AttemptId, link: Link, call: frames.Call) -> None:
+        self.id = attempt
+        self.link = link
+        self.call = call
+        self.bodies: Mailbox[frames.Body] = Mailbox()
+        self.window = Window(WINDOW)
+        self.task: asyncio.Task[None] | None = None
+        self.replied = False
+
+
+class Gate:
+    """Own the admission state and the connections to the backend server."""
+
+    def __init__(
+        self, snapshot: Callable[[], Snapshot], on_server_change: Callable[[], None]
+    ) -> None:
+        """Take the snapshot in force and what to call when the server's state changes."""
+        self.state = AdmissionState()
+        self.pool = BackendPool()
+        self.announcement: Announcement | None = None
+        self.counts: Counter[str] = Counter()
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self._snapshot = snapshot
+        self._on_server_change = on_server_change
+        self._attempts: dict[AttemptId, _Attempt] = {}
+        self._reserved_for: tuple[Snapshot, str] | None = None
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take or renew what the backend server says of itself."""
+        draining = self.state.server_state is ServerState.DRAINING
+        if draining and announcement.state is not ServerState.DRAINING:
+            announcement = announcement._replace(state=ServerState.DRAINING)
+        before = self.announcement
+        self.announcement = announcement
+        self.state.service = announcement.service
+        self.state.slots = announcement.slots
+        self.pool.configure(announcement.address, announcement.connections)
+        if announcement.state is ServerState.DRAINING and not draining:
+            self.drain("announced by the backend server")
+        self.state.server_state = announcement.state
+        if before is None or before[:1] + before[2:5] != announcement[:1] + announcement[2:5]:
+            log.info("backend server announced", extra={"announcement": announcement._asdict()})
+            self._on_server_change()
+
+    def expire(self, now: float) -> None:
+        """Forget a server that no longer renews what it announced, and drop late requests."""
+        if self.announcement is not None and now >= self.announcement.expires_at:
+            log.warning("announcement expired", extra={"service": self.announcement.service})
+            self.forget_server()
+        self._act(admission.next_decisions(self.state, now))
+
+    def forget_server(self) -> None:
+        """Take no more work for the backend server."""
+        self.announcement = None
+        self.state.server_state = ServerState.NONE
+        self.pool.close_idle()
+        self._on_server_change()
+
+    def drain(self, why: str) -> None:
+        """Take no new work from now on; what runs goes on to its end."""
+        now = asyncio.get_running_loop().time()
+        log.info("drain begins", extra={"why": why, "running": len(self._attempts)})
+        self._act(admission.drain(self.state, now))
+        if self.announcement is not None:
+            self.announcement = self.announcement._replace(state=ServerState.DRAINING)
+        self._on_server_change()
+
+    def cut_off(self) -> list[str]:
+        """End what still runs and return the call ids that were cut off."""
+        running = [a for a in self._attempts.values() if a.task is not None]
+        for attempt in running:
+            assert attempt.task is not None
+            attempt.task.cancel()
+        return [attempt.call.call_id for attempt in running]
+
+    def on_frame(self, link: Link, frame: frames.Frame) -> None:
+        """Take a frame of a call from another daemon."""
+        assert link.peer is not None
+        if isinstance(frame, frames.Call):
+            self._on_call(link, frame)
+            return
+        if not isinstance(frame, frames.Body | frames.Credit | frames.Cancel | frames.Question):
+            return
+        attempt_id = AttemptId(link.peer.member, link.peer.incarnation, frame.attempt)
+        if isinstance(frame, frames.Question):
+            self._on_question(link, attempt_id, frame)
+            return
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return
+        if isinstance(frame, frames.Body):
+            attempt.bodies.put(frame)
+        elif isinstance(frame, frames.Credit):
+            attempt.window.add(frame.size)
+        else:
+            self._on_cancel(attempt)
+
+    def on_lost(self, link: Link) -> None:
+        """Go on with what runs; the other side asks on a new link what became of it."""
+        for attempt in self._attempts.values():
+            if attempt.link is link and not attempt.call.end and attempt.task is not None:
+                attempt.task.cancel()
+            if attempt.link is link:
+                attempt.window.add(1 << 62)
+
+    def _limits(self, entry: str) -> Limits | None:
+        found = self._snapshot().entries_by_name.get(entry)
+        return None if found is None else found.limits
+
+    def _refresh_reserved(self) -> None:
+        snapshot, service = self._snapshot(), self.state.service
+        if self._reserved_for is not None and self._reserved_for == (snapshot, service):
+            return
+        self._reserved_for = (snapshot, service)
+        self.state.reserved_by_entry = {
+            route.entry.name: route.entry.limits.reserved
+            for routes in snapshot.routes_by_host.values()
+            for route in routes
+            if route.service == service and route.entry.limits.reserved
+        }
+
+    def _on_call(self, link: Link, call: frames.Call) -> None:
+        assert link.peer is not None
+        now = asyncio.get_running_loop().time()
+        attempt_id = AttemptId(link.peer.member, link.peer.incarnation, call.attempt)
+        limits = self._limits(call.entry)
+        attempt = _Attempt(attempt_id, link, call)
+        if limits is None:
+            failure = not_run(Reason.NOT_READY, f"entry {call.entry}", RETRY_AFTER_NOT_READY_MS)
+            self._send_failure(attempt, failure)
+            return
+        self._refresh_reserved()
+        request = admission.Request(attempt_id, call.entry, limits, now + call.deadline_ms / 1000)
+        decision = admission.admit(self.state, request, call.service, now)
+        if not isinstance(decision, Refused):
+            self._attempts[attempt_id] = attempt
+            self.idle.clear()
+            self._act([decision])
+            return
+        self.counts[f"refused.{decision.failure.reason}"] += 1
+        self._send_failure(attempt, decision.failure)
+
+    def _on_question(self, link: Link, attempt: AttemptId, question: frames.Question) -> None:
+        now = asyncio.get_running_loop().time()
+        verdict = admission.resolve(self.state, attempt, question.age_ms / 1000, now)
+        waiting = self._attempts.get(attempt)
+        if verdict is Verdict.NOT_RUN and waiting is not None:
+            self._forget(waiting)
+        self.counts[f"resolved.{verdict}"] += 1
+        link.send(frames.Resolution(question.attempt, verdict is not Verdict.NOT_RUN))
+
+    def _on_cancel(self, attempt: _Attempt) -> None:
+        now = asyncio.get_running_loop().time()
+        self.counts["cancelled"] += 1
+        if admission.withdraw(self.state, attempt.id, now):
+            self._forget(attempt)
+        elif attempt.task is not None:
+            attempt.task.cancel()
+
+    def _act(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            attempt = self._attempts.get(decision.request.attempt)
+            if attempt is None:
+                continue
+            if isinstance(decision, Admitted):
+                attempt.task = asyncio.create_task(self._run(attempt, decision.request.deadline))
+            elif isinstance(decision, Refused):
+                self.counts[f"refused.{decision.failure.reason}"] += 1
+                self._send_failure(attempt, decision.failure)
+                self._forget(attempt)
+
+    def _forget(self, attempt: _Attempt) -> None:
+        self._attempts.pop(attempt.id, None)
+        if not self._attempts:
+            self.idle.set()
+
+    def _send_failure(self, attempt: _Attempt, failure: Failure) -> None:
+        free = admission.free_slots(self.state)
+        attempt.link.send(frames.Refusal(attempt.call.attempt, failure, free))
+
+    async def _run(self, attempt: _Attempt, deadline: float) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        failure: Failure | None = None
+        self.counts["admitted"] += 1
+        try:
+            async with asyncio.timeout_at(deadline):
+                failure = await self._exchange(attempt)
+        except TimeoutError:
+            failure = may_have_run(Reason.DEADLINE, "the deadline passed while it ran")
+        except asyncio.CancelledError:
+            failure = may_have_run(Reason.CALLER_GONE, "cancelled while it ran")
+        except Exception as error:
+            log.exception("attempt failed", extra={"call_id": attempt.call.call_id})
+            failure = may_have_run(Reason.BACKEND_BROKE, repr(error))
+        decisions = admission.finish(self.state, attempt.id, started, loop.time())
+        if failure is not None:
+            self.counts[f"failed.{failure.reason}"] += 1
+            self._send_failure(attempt, failure)
+        self._forget(attempt)
+        self._act(decisions)
+
+    async def _exchange(self, attempt: _Attempt) -> Failure | None:
+        call = attempt.call
+        try:
+            connection = await self.pool.acquire(call.idempotent)
+        except OSError as error:
+            return not_run(Reason.BACKEND_UNREACHABLE, str(error), RETRY_AFTER_NOT_READY_MS)
+        pump: asyncio.Task[None] | None = None
+        try:
+            self._send_request(connection, call)
+            if not call.end:
+                attempt.link.send(frames.Credit(call.attempt, WINDOW))
+                pump = asyncio.create_task(_pump_body(attempt, connection))
+            await self._relay_reply(attempt, connection)
+        except (ConnectionLost, h11.ProtocolError, msgspec.MsgspecError) as error:
+            detail = str(error) or "the backend server closed the connection"
+            return may_have_run(Reason.BACKEND_BROKE, detail)
+        finally:
+            if pump is not None:
+                pump.cancel()
+                with contextlib.suppress(asyncio.CancelledError, ConnectionLost, h11.ProtocolError):
+                    await pump
+            self.pool.release(connection)
+        return None
+
+    def _send_request(self, connection: HttpConnection, call: frames.Call) -> None:
+        head = heads.decode_request(call.head)
+        headers = [
+            *head.headers,
+            (heads.CALL_ID, call.call_id.encode()),
+            (heads.DEADLINE_MS, str(call.deadline_ms).encode()),
+            (heads.RETRY_BUDGET, str(call.retry_budget).encode()),
+        ]
+        if header(headers, b"content-length") is None and (call.body or not call.end):
+            headers.append((b"transfer-encoding", b"chunked"))
+        events: list[h11.Event] = [
+            h11.Request(method=head.method, target=head.target, headers=headers)
+        ]
+        if call.body:
+            events.append(h11.Data(data=call.body))
+        if call.end:
+            events.append(h11.EndOfMessage())
+        connection.send(*events)
+
+    async def _relay_reply(self, attempt: _Attempt, connection: HttpConnection) -> None:
+        event = await connection.next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await connection.next_event()
+        if not isinstance(event, h11.Response):
+            raise ConnectionLost
+        body, end = _take_arrived(connection)
+        reply = frames.Reply(
+            attempt.call.attempt,
+            event.status_code,
+            heads.encode_headers(end_to_end(event.headers)),
+            body,
+            end,
+            admission.free_slots(self.state),
+        )
+        attempt.link.send(reply)
+        attempt.replied = True
+        attempt.window.available -= len(body)
+        while not end:
+            body, end = await _next_part(connection)
+            await attempt.window.take(len(body))
+            attempt.link.send(frames.Body(attempt.call.attempt, body, end))
+
+
+def _take_arrived(connection: HttpConnection) -> tuple[bytes, bool]:
+    chunks: list[bytes] = []
+    while True:
+        event = connection.poll()
+        if isinstance(event, h11.Data):
+            chunks.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return b"".join(chunks), True
+        elif event is None:
+            return b"".join(chunks), False
+        else:
+            raise ConnectionLost
+
+
+async def _next_part(connection: HttpConnection) -> tuple[bytes, bool]:
+    event = await connection.next_event()
+    if isinstance(event, h11.Data):
+        return bytes(event.data), False
+    if isinstance(event, h11.EndOfMessage):
+        return b"", True
+    raise ConnectionLost
+
+
+async def _pump_body(attempt: _Attempt, connection: HttpConnection) -> None:
+    while True:
+        part = await attempt.bodies.get()
+        if part.data:
+            connection.send(h11.Data(data=part.data))
+            await connection.drain()
+            attempt.link.send(frames.Credit(attempt.call.attempt, len(part.data)))
+        if part.end:
+            connection.send(h11.EndOfMessage())
+            return
--- /dev/null
+++ b/hornbeamgw/daemon/heads.py
@@ -0,0 +1,50 @@
+"""Heads: request and response lines with headers, as frames carry them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from hornbeamgw.daemon.http1 import Headers
+
+CALL_ID = b"hornbeamgw-call-id"
+DEADLINE_MS = b"hornbeamgw-deadline-ms"
+RETRY_BUDGET = b"hornbeamgw-retry-budget"
+RETRY_AFTER_MS = b"hornbeamgw-retry-after-ms"
+VERDICT = b"hornbeamgw-verdict"
+REASON = b"hornbeamgw-reason"
+OWN_HEADERS = frozenset({CALL_ID, DEADLINE_MS, RETRY_BUDGET})
+
+
+class RequestHead(NamedTuple):
+    """Hold the head of a request."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+
+_encoder = msgspec.msgpack.Encoder()
+_request_decoder = msgspec.msgpack.Decoder(RequestHead)
+_headers_decoder = msgspec.msgpack.Decoder(Headers)
+
+
+def encode_request(head: RequestHead) -> bytes:
+    """Return the head of a request as a frame carries it."""
+    return _encoder.encode(head)
+
+
+def decode_request(blob: bytes) -> RequestHead:
+    """Return the head in a blob; raise msgspec.MsgspecError."""
+    return _request_decoder.decode(blob)
+
+
+def encode_headers(headers: Headers) -> bytes:
+    """Return the headers of a response as a frame carries them."""
+    return _encoder.encode(headers)
+
+
+def decode_headers(blob: bytes) -> Headers:
+    """Return the headers in a blob; raise msgspec.MsgspecError."""
+    return _headers_decoder.decode(blob)
--- /dev/null
+++ b/hornbeamgw/daemon/http1.py
@@ -0,0 +1,256 @@
+"""HTTP/1.1 connections by h11, for both sides of a connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, cast
+
+import h11
+
+from hornbeamgw.core.options import split_address
+
+MAX_HEAD = 16 * 1024
+READ_AHEAD = 256 * 1024
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+Headers = list[tuple[bytes, bytes]]
+Event = h11.Event | type[h11.PAUSED]
+
+
+class ConnectionLost(Exception):
+    """Say that the other side closed or broke a connection."""
+
+
+class HttpConnection(asyncio.Protocol):
+    """Hold one connection and wait for its events."""
+
+    def __init__(
+        self,
+        role: type[h11.SERVER] | type[h11.CLIENT],
+        on_open: Callable[[HttpConnection], None] | None = None,
+    ) -> None:
+        """Take the role of a server or of a client."""
+        self.http = h11.Connection(role, max_incomplete_event_size=MAX_HEAD)
+        self.transport: asyncio.Transport | None = None
+        self.lost = False
+        self.on_lost: Callable[[], None] | None = None
+        self._on_open = on_open
+        self._waiter: asyncio.Future[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._unread = 0
+        self._paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and report the connection."""
+        self.transport = cast(asyncio.Transport, transport)
+        if self._on_open is not None:
+            self._on_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Hand bytes to h11; stop reading where nobody takes them."""
+        self.http.receive_data(data)
+        self._unread += len(data)
+        if self._unread > READ_AHEAD and not self._paused and self.transport is not None:
+            self._paused = True
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Hand the end of input to h11."""
+        self.http.receive_data(b"")
+        self._wake()
+        if self.on_lost is not None:
+            self.on_lost()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Wake whoever waits."""
+        self.lost = True
+        self._wake()
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def pause_writing(self) -> None:
+        """Make drain() wait."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let drain() return."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def poll(self) -> Event | None:
+        """Return the next event that has arrived, or None; raise h11.RemoteProtocolError."""
+        event = self.http.next_event()
+        if event is h11.NEED_DATA:
+            self._unread = 0
+            if self._paused and self.transport is not None and not self.lost:
+                self._paused = False
+                self.transport.resume_reading()
+            return None
+        return event  # type: ignore[return-value]
+
+    async def next_event(self) -> Event:
+        """Return the next event; raise ConnectionLost or h11.RemoteProtocolError."""
+        while True:
+            event = self.poll()
+            if event is not None:
+                return event
+            await self.wait_input()
+
+    async def wait_input(self) -> None:
+        """Wait until something arrives; raise ConnectionLost."""
+        if self.lost:
+            raise ConnectionLost
+        self._waiter = asyncio.get_running_loop().create_future()
+        await self._waiter
+
+    def has_input(self) -> bool:
+        """Return whether bytes of an unfinished message have arrived."""
+        return bool(self.http.trailing_data[0])
+
+    def send(self, *events: h11.Event) -> None:
+        """Write events in one go; raise ConnectionLost."""
+        if self.lost or self.transport is None or self.transport.is_closing():
+            raise ConnectionLost
+        self.transport.write(b"".join(self.http.send(event) or b"" for event in events))
+
+    async def drain(self) -> None:
+        """Wait until the other side takes more; raise ConnectionLost."""
+        if self._writable is not None:
+            await self._writable
+        if self.lost:
+            raise ConnectionLost
+
+    def close(self) -> None:
+        """Close after what was written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Break the connection so that the other side sees it."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+async def dial(address: str) -> HttpConnection:
+    """Open a client connection; raise OSError."""
+    host, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(lambda: HttpConnection(h11.CLIENT), host, port)
+    return connection
+
+
+def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers that a proxy passes on."""
+    listed: set[bytes] = set()
+    kept = []
+    for name, value in headers:
+        if name == b"connection":
+            listed |= {token.strip().lower() for token in value.split(b",")}
+    for name, value in headers:
+        if name not in HOP_BY_HOP and name not in listed:
+            kept.append((name, value))
+    return kept
+
+
+def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return the first value of a header, by its lower-case name."""
+    return next((value for key, value in headers if key == name), None)
+
+
+class Response(NamedTuple):
+    """Hold a whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+async def _exchange(
+    connection: HttpConnection, method: str, target: str, headers: Headers, body: bytes
+) -> Response:
+    framing = [(b"content-length", str(len(body)).encode())]
+    request = h11.Request(method=method, target=target, headers=[*headers, *framing])
+    events: list[h11.Event] = [request]
+    if body:
+        events.append(h11.Data(data=body))
+    connection.send(*events, h11.EndOfMessage())
+    chunks: list[bytes] = []
+    status, reply_headers = 0, Headers()
+    while True:
+        event = await connection.next_event()
+        if isinstance(event, h11.Response):
+            status, reply_headers = event.status_code, list(event.headers)
+        elif isinstance(event, h11.Data):
+            chunks.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return Response(status, reply_headers, b"".join(chunks))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise ConnectionLost
+
+
+class HttpClient:
+    """Ask one server, over kept connections; each call is an exchange of its own."""
+
+    def __init__(self, address: str, timeout: float) -> None:
+        """Take the address of the server and the bound (s) on an exchange."""
+        self.address = address
+        self.timeout = timeout
+        self._idle: list[HttpConnection] = []
+
+    async def request(
+        self, method: str, target: str, headers: Headers | None = None, body: bytes = b""
+    ) -> Response:
+        """Return the answer; raise OSError, TimeoutError, ConnectionLost or a protocol error."""
+        async with asyncio.timeout(self.timeout):
+            connection = await self._connection()
+            try:
+                wanted = [(b"host", self.address.encode()), *(headers or [])]
+                response = await _exchange(connection, method, target, wanted, body)
+            except BaseException:
+                connection.abort()
+                raise
+        self._keep(connection)
+        return response
+
+    async def _connection(self) -> HttpConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.lost and connection.poll() is None:
+                return connection
+            connection.close()
+        return await dial(self.address)
+
+    def _keep(self, connection: HttpConnection) -> None:
+        if connection.http.our_state is h11.DONE and connection.http.their_state is h11.DONE:
+            connection.http.start_next_cycle()
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
--- /dev/null
+++ b/hornbeamgw/daemon/http_server.py
@@ -0,0 +1,177 @@
+"""HTTP server loop: requests one after another on each connection, bad ones refused."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import h11
+import msgspec
+
+from hornbeamgw.core.options import split_address
+from hornbeamgw.daemon.http1 import ConnectionLost, Headers, HttpConnection
+
+log = logging.getLogger(__name__)
+
+OnRequest = Callable[[HttpConnection, h11.Request], Awaitable[None]]
+ADMIN_BODY_LIMIT = 8 * 1024 * 1024
+
+
+class Timeouts(NamedTuple):
+    """Bound how long a head may take and a connection may idle (s)."""
+
+    head: float = 5.0
+    idle: float = 60.0
+
+
+class BadRequest(Exception):
+    """Refuse a request with a status and a reason."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        """Take the status code and a line for the caller."""
+        super().__init__(reason)
+        self.status = status
+
+
+def send_response(
+    connection: HttpConnection, status: int, headers: Headers, body: bytes, close: bool = False
+) -> None:
+    """Send a whole answer; raise ConnectionLost."""
+    framed = [*headers, (b"content-length", str(len(body)).encode())]
+    if close:
+        framed.append((b"connection", b"close"))
+    events: list[h11.Event] = [h11.Response(status_code=status, headers=framed)]
+    if body:
+        events.append(h11.Data(data=body))
+    connection.send(*events, h11.EndOfMessage())
+
+
+async def read_body(connection: HttpConnection, limit: int) -> bytes:
+    """Return the whole body of a request; raise BadRequest over the limit."""
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        event = await connection.next_event()
+        if isinstance(event, h11.EndOfMessage):
+            return b"".join(chunks)
+        if isinstance(event, h11.Data):
+            chunks.append(bytes(event.data))
+            size += len(event.data)
+        if size > limit:
+            raise BadRequest(413, f"body over {limit} bytes")
+
+
+async def _next_request(connection: HttpConnection, timeouts: Timeouts) -> h11.Request | None:
+    event = connection.poll()
+    if event is None and not connection.has_input():
+        async with asyncio.timeout(timeouts.idle):
+            event = await _first_input(connection)
+    if event is None:
+        try:
+            async with asyncio.timeout(timeouts.head):
+                event = await connection.next_event()
+        except TimeoutError:
+            raise BadRequest(408, "the request's head did not arrive in time") from None
+    return event if isinstance(event, h11.Request) else None
+
+
+async def _first_input(connection: HttpConnection) -> Any:
+    while True:
+        event = connection.poll()
+        if event is not None or connection.has_input():
+            return event
+        await connection.wait_input()
+
+
+def _refuse(connection: HttpConnection, status: int, reason: str) -> None:
+    if connection.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        connection.abort()
+        return
+    try:
+        headers = [(b"content-type", b"application/json"), (b"hornbeamgw-verdict", b"not_run")]
+        body = msgspec.json.encode(
+            {"verdict": "not_run", "reason": "bad_request", "detail": reason}
+        )
+        send_response(connection, status, headers, body, close=True)
+    except (ConnectionLost, h11.LocalProtocolError):
+        pass
+    connection.close()
+
+
+async def run_connection(
+    connection: HttpConnection, on_request: OnRequest, timeouts: Timeouts
+) -> None:
+    """Serve requests until either side is done; a malformed one ends the connection."""
+    try:
+        while True:
+            request = await _next_request(connection, timeouts)
+            if request is None:
+                break
+            await on_request(connection, request)
+            if connection.http.our_state is not h11.DONE:
+                break
+            if connection.http.their_state is not h11.DONE:
+                break
+            connection.http.start_next_cycle()
+    except h11.RemoteProtocolError as error:
+        _refuse(connection, error.error_status_hint, str(error))
+    except BadRequest as error:
+        _refuse(connection, error.status, str(error))
+    except (ConnectionLost, TimeoutError, h11.LocalProtocolError):
+        pass
+    except Exception:
+        log.exception("request failed")
+        connection.abort()
+    finally:
+        connection.close()
+
+
+class HttpServer:
+    """Accept connections and run a task for each."""
+
+    def __init__(self, on_request: OnRequest, timeouts: Timeouts) -> None:
+        """Take the handler of requests."""
+        self._on_request = on_request
+        self._timeouts = timeouts
+        self._server: asyncio.Server | None = None
+        self.connections: dict[HttpConnection, asyncio.Task[None]] = {}
+
+    async def start(self, address: str) -> str:
+        """Listen and return the address in use; raise OSError."""
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: HttpConnection(h11.SERVER, self._opened), host, port, backlog=1024
+        )
+        name = self._server.sockets[0].getsockname()
+        return f"{name[0]}:{name[1]}"
+
+    def _opened(self, connection: HttpConnection) -> None:
+        task = asyncio.create_task(run_connection(connection, self._on_request, self._timeouts))
+        self.connections[connection] = task
+        task.add_done_callback(lambda _: self.connections.pop(connection, None))
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections go on."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close each connection that has no request under way."""
+        for connection in list(self.connections):
+            if connection.http.our_state is h11.IDLE and not connection.has_input():
+                connection.close()
+
+    def abort(self) -> None:
+        """Break what is still open."""
+        for connection, task in list(self.connections.items()):
+            task.cancel()
+            connection.abort()
+
+
+def json_response(connection: HttpConnection, status: int, value: Any) -> None:
+    """Send a value as JSON; raise ConnectionLost."""
+    body = msgspec.json.encode(value)
+    send_response(connection, status, [(b"content-type", b"application/json")], body)
--- /dev/null
+++ b/hornbeamgw/daemon/link.py
@@ -0,0 +1,202 @@
+"""Links: frames over one TCP connection between two daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple, cast
+
+from hornbeamgw.core.options import split_address
+from hornbeamgw.daemon import codec, frames
+
+HEARTBEAT_AFTER_S = 1.0
+SILENT_AFTER_S = 3.0
+
+
+class LinkLost(Exception):
+    """Say that a link broke or never opened."""
+
+
+class Link(asyncio.Protocol):
+    """Hold one connection, hand over its frames in order, and notice silence."""
+
+    def __init__(
+        self,
+        hello: frames.Hello,
+        on_frame: Callable[[Link, frames.Frame], None],
+        on_lost: Callable[[Link], None],
+        on_fault: Callable[[str], None],
+    ) -> None:
+        """Take one's own hello and what to call for frames, the end and faults."""
+        self.hello = hello
+        self.peer: frames.Hello | None = None
+        self.peer_known: asyncio.Future[frames.Hello] = asyncio.get_running_loop().create_future()
+        self.transport: asyncio.Transport | None = None
+        self.lost = False
+        self.received_at = 0.0
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self._on_frame = on_frame
+        self._on_lost = on_lost
+        self._on_fault = on_fault
+        self._buffer = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and say hello."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.received_at = asyncio.get_running_loop().time()
+        self.send(self.hello)
+
+    def send(self, frame: frames.Frame) -> None:
+        """Write a frame; one to a lost link is dropped."""
+        if self.transport is None or self.lost:
+            return
+        payload = codec.encode_frame(frame)
+        self.bytes_out += len(payload)
+        self.transport.write(payload)
+
+    def data_received(self, data: bytes) -> None:
+        """Cut the bytes into frames; a bad one ends the link."""
+        self.received_at = asyncio.get_running_loop().time()
+        self.bytes_in += len(data)
+        self._buffer += data
+        try:
+            self._take_frames()
+        except codec.CodecError as error:
+            self._on_fault(str(error))
+            self.abort()
+
+    def _take_frames(self) -> None:
+        buffer, start = self._buffer, 0
+        while len(buffer) - start >= codec.LENGTH_BYTES and not self.lost:
+            head = start + codec.LENGTH_BYTES
+            size = int.from_bytes(buffer[start:head], "big")
+            if size > codec.MAX_FRAME:
+                raise codec.CodecError(
+                    f"a frame of {size} bytes, expected {codec.MAX_FRAME} at most"
+                )
+            if len(buffer) - head < size:
+                break
+            start = head + size
+            self._take(codec.decode_frame(bytes(buffer[head:start])))
+        del buffer[:start]
+
+    def _take(self, frame: frames.Frame) -> None:
+        if self.peer is None:
+            self._take_hello(frame)
+        elif isinstance(frame, frames.Heartbeat):
+            if frame.asks:
+                self.send(frames.Heartbeat(False))
+        else:
+            self._on_frame(self, frame)
+
+    def _take_hello(self, frame: frames.Frame) -> None:
+        if not isinstance(frame, frames.Hello):
+            raise codec.CodecError("a link that does not open with a hello")
+        if frame.fleet != self.hello.fleet:
+            raise codec.CodecError(f"a hello of fleet {frame.fleet!r}")
+        self.peer = frame
+        if not self.peer_known.done():
+            self.peer_known.set_result(frame)
+
+    def check(self, now: float) -> None:
+        """Ask for a sign of life, and break a link that stays silent."""
+        idle = now - self.received_at
+        if idle >= SILENT_AFTER_S:
+            self._on_fault("silent link")
+            self.abort()
+        elif idle >= HEARTBEAT_AFTER_S:
+            self.send(frames.Heartbeat(True))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Report the end once."""
+        self._end()
+
+    def _end(self) -> None:
+        if self.lost:
+            return
+        self.lost = True
+        if not self.peer_known.done():
+            self.peer_known.cancel()
+        self._on_lost(self)
+
+    def abort(self) -> None:
+        """Break the link at once."""
+        if self.transport is not None:
+            self.transport.abort()
+        self._end()
+
+    def close(self) -> None:
+        """Close after what was written."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+async def dial(
+    address: str,
+    hello: frames.Hello,
+    on_frame: Callable[[Link, frames.Frame], None],
+    on_lost: Callable[[Link], None],
+    on_fault: Callable[[str], None],
+    timeout: float,
+) -> Link:
+    """Open a link and wait for the other side's hello; raise LinkLost."""
+    host, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout):
+            _, link = await loop.create_connection(
+                lambda: Link(hello, on_frame, on_lost, on_fault), host, port
+            )
+            try:
+                await asyncio.wait([link.peer_known])
+            except asyncio.CancelledError:
+                link.abort()
+                raise
+    except (OSError, TimeoutError) as error:
+        raise LinkLost(f"{address}: {error or type(error).__name__}") from error
+    if link.peer is None:
+        raise LinkLost(f"{address}: closed before its hello")
+    return link
+
+
+class Exchanged(NamedTuple):
+    """Hold an answer, who gave it, and the bytes that the exchange took."""
+
+    answer: frames.Frame
+    peer: frames.Hello
+    bytes_in: int
+    bytes_out: int
+
+
+async def exchange(
+    address: str,
+    hello: frames.Hello,
+    request: frames.Frame,
+    on_fault: Callable[[str], None],
+    timeout: float,
+) -> Exchanged:
+    """Ask one question on a link of its own; raise LinkLost."""
+    loop = asyncio.get_running_loop()
+    answer: asyncio.Future[frames.Frame] = loop.create_future()
+
+    def on_frame(link: Link, frame: frames.Frame) -> None:
+        if not answer.done():
+            answer.set_result(frame)
+
+    def on_lost(link: Link) -> None:
+        if not answer.done():
+            answer.set_exception(LinkLost(f"{address}: lost before its answer"))
+            answer.exception()
+
+    link = await dial(address, hello, on_frame, on_lost, on_fault, timeout)
+    link.send(request)
+    try:
+        async with asyncio.timeout(timeout):
+            frame = await answer
+    except TimeoutError as error:
+        raise LinkLost(f"{address}: no answer in {timeout} s") from error
+    finally:
+        link.close()
+    assert link.peer is not None
+    return Exchanged(frame, link.peer, link.bytes_in, link.bytes_out)
--- /dev/null
+++ b/hornbeamgw/daemon/main.py
@@ -0,0 +1,216 @@
+"""Daemon: wires the tasks together, and stops without cutting anything off."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import socket
+import time
+
+import msgspec
+
+from hornbeamgw.backends import factories_by_name
+from hornbeamgw.core import balancing, membership, versions
+from hornbeamgw.core.membership import Member, ServerState, Status
+from hornbeamgw.core.options import Settings, split_address
+from hornbeamgw.core.snapshot import Snapshot
+from hornbeamgw.daemon import logs
+from hornbeamgw.daemon.admin import Admin
+from hornbeamgw.daemon.attempts import Links
+from hornbeamgw.daemon.calls import Calls, View
+from hornbeamgw.daemon.committer import Committer
+from hornbeamgw.daemon.control import Control
+from hornbeamgw.daemon.gate import Gate
+from hornbeamgw.daemon.http_server import HttpServer, Timeouts
+from hornbeamgw.daemon.metrics import REPORT_EVERY_S, Metrics
+from hornbeamgw.daemon.peers import PeerServer
+from hornbeamgw.daemon.reader import Reader
+
+log = logging.getLogger(__name__)
+
+CHECK_EVERY_S = 0.25
+GRACE_AFTER_DRAIN_S = 0.2
+PORT_TRIES = 20
+EXIT_OK = 0
+EXIT_CUT_OFF = 3
+
+
+class Daemon:
+    """Hold the parts of one daemon."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        """Build the parts; nothing runs yet."""
+        rng = random.Random(seed)
+        me = Member(
+            _claim_port(settings.address),
+            settings.data_centre,
+            settings.region,
+            time.time_ns() // 1_000_000,
+        )
+        platform = factories_by_name[settings.platform_adapter](
+            settings.platform_address, settings.platform_timeout
+        )
+        timeouts = Timeouts(settings.calls_header_timeout, settings.calls_idle_timeout)
+        self.settings = settings
+        self.control = Control(settings, me, rng)
+        self.reader = Reader(self.control, platform, settings.platform_poll, rng)
+        self.committer = Committer(self.control, self.reader, platform, rng)
+        self.gate = Gate(self._snapshot, self._on_server_change)
+        self.links = Links(lambda: self.control.hello, self.control.fault)
+        policy = balancing.policies_by_name[settings.calls_balancing]
+        replay_limit = round(settings.calls_replay_limit)
+        self.calls = Calls(self._view, self.links, policy, replay_limit, rng)
+        self.peers = PeerServer(self.control, self.reader, self.gate)
+        self.callers = HttpServer(self.calls.on_request, timeouts)
+        admin = Admin(self.control, self.reader, self.committer, self.gate, self.calls)
+        self.admin = HttpServer(admin.on_request, timeouts)
+        self._stop_signals = 0
+        self._stop = asyncio.Event()
+        self._cut = asyncio.Event()
+
+    def _snapshot(self) -> Snapshot:
+        return self.control.versions.snapshot
+
+    def _view(self) -> View:
+        view = self.control.view
+        return View(
+            versions.is_ready(self.control.versions),
+            self.control.versions.snapshot,
+            view.me,
+            list(view.members_by_address.values()),
+            view.generation,
+        )
+
+    def _on_server_change(self) -> None:
+        announced = self.gate.announcement
+        if announced is None:
+            self.control.update_me(service="", server_state=ServerState.NONE, slots=0)
+            return
+        self.control.update_me(
+            service=announced.service, server_state=announced.state, slots=announced.slots
+        )
+
+    async def start(self) -> dict[str, str]:
+        """Listen on every address and return the addresses in use; raise OSError."""
+        address = self.control.view.me.address
+        await self.peers.start(address)
+        await self.control.start(address)
+        admin = await self.admin.start(self.settings.admin)
+        callers = await self.callers.start(self.settings.callers)
+        now = asyncio.get_running_loop().time()
+        membership.update_me(self.control.view, now, admin=admin)
+        self.control.spawn(self.reader.join_loop())
+        self.control.spawn(self.reader.floor_loop())
+        self.control.spawn(self.reader.poll_loop())
+        self.control.spawn(self._check_loop())
+        if self.settings.statsd:
+            self.control.spawn(self._report_loop(Metrics(self.settings.statsd)))
+        return {"address": address, "admin": admin, "callers": callers}
+
+    async def _check_loop(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CHECK_EVERY_S)
+            self.links.check(loop.time())
+            self.gate.expire(loop.time())
+
+    async def _report_loop(self, metrics: Metrics) -> None:
+        while True:
+            await asyncio.sleep(REPORT_EVERY_S)
+            meter = self.control.meter
+            counts = {f"control.out.{kind}": n for kind, n in meter.bytes_out.items()}
+            counts |= {f"control.in.{kind}": n for kind, n in meter.bytes_in.items()}
+            counts |= dict(self.calls.counts) | {
+                f"gate.{k}": n for k, n in self.gate.counts.items()
+            }
+            gauges = {"version": self.control.versions.snapshot.version}
+            gauges["members"] = len(membership.reachable(self.control.view))
+            metrics.report(counts, gauges)
+
+    def on_signal(self) -> None:
+        """Drain at the first signal, end at the second."""
+        self._stop_signals += 1
+        self._stop.set()
+        if self._stop_signals > 1:
+            self._cut.set()
+
+    async def run(self) -> int:
+        """Run until told to stop, then drain; return the exit code."""
+        await self._stop.wait()
+        self.calls.draining = True
+        self.gate.drain("the daemon stops")
+        drained = asyncio.create_task(self._wait_until_idle())
+        cut = asyncio.create_task(self._cut.wait())
+        limit = self.settings.calls_drain_limit
+        await asyncio.wait([drained, cut], timeout=limit, return_when=asyncio.FIRST_COMPLETED)
+        cut_off = [] if drained.done() else self._unfinished()
+        self.control.update_me(status=Status.LEFT, server_state=ServerState.NONE)
+        if cut_off:
+            log.error("stopped with work in flight", extra={"cut_off": cut_off})
+        await self._close()
+        return EXIT_CUT_OFF if cut_off else EXIT_OK
+
+    async def _wait_until_idle(self) -> None:
+        await asyncio.sleep(GRACE_AFTER_DRAIN_S)
+        await self.gate.idle.wait()
+        self.callers.stop_accepting()
+        while self.callers.connections:
+            self.callers.close_idle()
+            await asyncio.sleep(0.01)
+        await self.gate.idle.wait()
+
+    def _unfinished(self) -> list[str]:
+        return [*self.gate.cut_off(), f"{len(self.callers.connections)} connections of callers"]
+
+    async def _close(self) -> None:
+        self.callers.abort()
+        self.links.close()
+        self.peers.close()
+        self.admin.stop_accepting()
+        await asyncio.sleep(0.05)
+        self.control.stop()
+
+
+def _claim_port(address: str) -> str:
+    """Return an address whose port is free for TCP and UDP alike; port 0 asks the kernel."""
+    host, port = split_address(address)
+    if port:
+        return address
+    for _ in range(PORT_TRIES):
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind((host, 0))
+            try:
+                udp.bind(tcp.getsockname())
+            except OSError:
+                continue
+            return f"{host}:{tcp.getsockname()[1]}"
+    raise OSError(f"no port of {host} is free for both TCP and UDP")
+
+
+async def _serve(settings: Settings, print_addresses: bool) -> int:
+    daemon = Daemon(settings, int.from_bytes(os.urandom(8), "big"))
+    addresses = await daemon.start()
+    logs.set_up(settings.log_level, daemon=addresses["address"], data_centre=settings.data_centre)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.on_signal)
+    log.info("daemon started", extra=addresses)
+    if print_addresses:
+        print(msgspec.json.encode(addresses).decode(), flush=True)
+    return await daemon.run()
+
+
+def run(settings: Settings, print_addresses: bool = False) -> int:
+    """Run a daemon to its end and return the exit code."""
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    logs.set_up(settings.log_level, data_centre=settings.data_centre)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(_serve(settings, print_addresses))
--- /dev/null
+++ b/hornbeamgw/daemon/metrics.py
@@ -0,0 +1,35 @@
+"""Metrics: counters to statsd, as differences since the last report."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+
+from statsd import StatsClient
+
+from hornbeamgw.core.options import split_address
+
+PREFIX = "hornbeamgw"
+REPORT_EVERY_S = 5.0
+
+
+class Metrics:
+    """Hold what was reported, to send only what is new."""
+
+    def __init__(self, address: str) -> None:
+        """Take the address of the statsd server."""
+        host, port = split_address(address)
+        self._client = StatsClient(host, port, prefix=PREFIX)
+        self._reported: Counter[str] = Counter()
+
+    def report(self, counts: Mapping[str, float], gauges: Mapping[str, float]) -> None:
+        """Send counters that grew and all gauges."""
+        with self._client.pipeline() as batch:
+            for name, value in counts.items():
+                if value > self._reported[name]:
+                    batch.incr(name, value - self._reported[name])
+            for name, value in gauges.items():
+                batch.gauge(name, value)
+        self._reported.update(
+            {name: value - self._reported[name] for name, value in counts.items()}
+        )
--- /dev/null
+++ b/hornbeamgw/daemon/peers.py
@@ -0,0 +1,68 @@
+"""Peers: accepts links of other daemons and answers or hands on their frames."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hornbeamgw.core.options import split_address
+from hornbeamgw.daemon import frames
+from hornbeamgw.daemon.control import Control
+from hornbeamgw.daemon.gate import Gate
+from hornbeamgw.daemon.link import Link
+from hornbeamgw.daemon.reader import Reader
+
+
+class PeerServer:
+    """Own the listening socket for links."""
+
+    def __init__(self, control: Control, reader: Reader, gate: Gate) -> None:
+        """Take who answers what."""
+        self._control = control
+        self._reader = reader
+        self._gate = gate
+        self._server: asyncio.Server | None = None
+        self._links: set[Link] = set()
+
+    async def start(self, address: str) -> None:
+        """Listen; raise OSError."""
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, host, port, backlog=1024)
+
+    def _accept(self) -> Link:
+        link = Link(self._control.hello, self._on_frame, self._on_lost, self._control.fault)
+        self._links.add(link)
+        return link
+
+    def _on_lost(self, link: Link) -> None:
+        self._links.discard(link)
+        self._gate.on_lost(link)
+
+    def _on_frame(self, link: Link, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Pull):
+            self._answer(link, "pull", self._control.answer_pull(frame.version))
+        elif isinstance(frame, frames.ViewRequest):
+            self._answer(link, "view", self._control.answer_view(frame.member))
+        elif isinstance(frame, frames.FloorRequest):
+            self._control.spawn(self._answer_floor(link, frame.address))
+        else:
+            self._gate.on_frame(link, frame)
+
+    def _answer(self, link: Link, kind: str, answer: frames.Frame | None) -> None:
+        if answer is None:
+            self._control.meter.faults["transfer over rate"] += 1
+            link.abort()
+            return
+        before = link.bytes_out
+        link.send(answer)
+        self._control.meter.sent(kind, link.bytes_out - before)
+
+    async def _answer_floor(self, link: Link, address: str) -> None:
+        self._answer(link, "floor", await self._reader.answer_floor(address))
+
+    def close(self) -> None:
+        """Stop to listen and close the links."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self._links):
+            link.close()
--- /dev/null
+++ b/hornbeamgw/daemon/reader.py
@@ -0,0 +1,261 @@
+"""Reader: reads the platform's head, for the data centre and to learn the floor."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import Any
+
+import msgspec
+
+from hornbeamgw.backends.base import Platform, PlatformError
+from hornbeamgw.core import commit, membership, versions
+from hornbeamgw.core.commit import Head
+from hornbeamgw.core.membership import Member, Status
+from hornbeamgw.core.rendezvous import READERS_PER_DATA_CENTRE, is_reader, top
+from hornbeamgw.core.versions import Origin, Path
+from hornbeamgw.daemon import frames
+from hornbeamgw.daemon.control import Control
+from hornbeamgw.daemon.link import LinkLost
+
+log = logging.getLogger(__name__)
+
+READ_SPACING_S = 0.2
+MAX_DELTA_READS = 16
+FLOOR_BACKOFF_S = 0.25
+FLOOR_BACKOFF_MAX_S = 4.0
+OWN_READ_EVERY = 3
+RECONCILE_EVERY_S = 300.0
+
+PLATFORM = "platform"
+
+
+def _unready_reason(control: Control) -> str:
+    state = control.versions
+    if versions.is_ready(state):
+        return ""
+    if state.rejected_by_version:
+        return "a version that is not rejected"
+    return "a first version of the catalogue"
+
+
+class Reader:
+    """Own this daemon's reads of the platform."""
+
+    def __init__(
+        self, control: Control, platform: Platform, poll: float, rng: random.Random
+    ) -> None:
+        """Take the control to feed and the platform to read."""
+        self.waiting_for = "start"
+        self.reads = 0
+        self.errors = 0
+        self.head: Head | None = None
+        self._control = control
+        self._platform = platform
+        self._poll = poll
+        self._rng = rng
+        self._next_read: asyncio.Task[Head] | None = None
+        self._read_begun = False
+        self._last_read_at = -1e9
+
+    async def fresh_head(self) -> Head:
+        """Return the head by a read begun after this call; raise PlatformError.
+
+        Calls that wait for the same read share it, so a herd costs a few reads a second.
+        """
+        if self._next_read is None or self._read_begun or self._next_read.done():
+            self._read_begun = False
+            self._next_read = asyncio.create_task(self._spaced_read())
+        return await asyncio.shield(self._next_read)
+
+    async def _spaced_read(self) -> Head:
+        loop = asyncio.get_running_loop()
+        wait = self._last_read_at + READ_SPACING_S - loop.time()
+        if wait > 0:
+            await asyncio.sleep(wait)
+        self._read_begun = True
+        self._last_read_at = loop.time()
+        self.reads += 1
+        try:
+            row = await self._platform.table.read(commit.HEAD_KEY)
+        except PlatformError:
+            self.errors += 1
+            raise
+        try:
+            self.head = commit.decode_head(row.value if row else None)
+        except msgspec.MsgspecError as error:
+            raise PlatformError(f"undecodable head: {error}") from error
+        return self.head
+
+    async def catch_up(self, head: Head) -> bool:
+        """Fetch what is missing up to a head; raise PlatformError."""
+        state = self._control.versions
+        behind = head["version"] - state.catalogue.version
+        if behind <= 0:
+            return False
+        if behind > MAX_DELTA_READS and head["snapshot_version"] > state.catalogue.version:
+            await self._fetch_snapshot(head)
+        return await self._fetch_deltas(head)
+
+    async def _fetch_snapshot(self, head: Head) -> None:
+        blob = await self._platform.objects.get(head["snapshot_name"])
+        self.reads += 1
+        if blob is not None:
+            self._control.learn_catalogue(blob, Origin(Path.SNAPSHOT, PLATFORM))
+
+    async def _fetch_deltas(self, head: Head) -> bool:
+        known = self._control.versions.catalogue.version
+        blobs = []
+        for version in range(known + 1, head["version"] + 1):
+            row = await self._platform.table.read(commit.delta_key(version))
+            self.reads += 1
+            if row is None:
+                await self._fetch_snapshot(head)
+                break
+            blobs.append(row.value)
+        return self._control.learn_deltas(blobs, Origin(Path.PLATFORM, PLATFORM))
+
+    async def poll_loop(self) -> None:
+        """Poll the head while this daemon is a reader of its data centre."""
+        while True:
+            await asyncio.sleep(self._poll * self._rng.uniform(0.8, 1.2))
+            members = membership.reachable(self._control.view)
+            if not is_reader(self._control.view.me, members):
+                continue
+            try:
+                head = await self.fresh_head()
+                if await self.catch_up(head):
+                    self._control.push()
+            except PlatformError as error:
+                log.warning("platform read failed", extra={"error": str(error)})
+
+    async def answer_floor(self, address: str) -> frames.Floor:
+        """Return the floor for the daemon at an address, confirmed where the platform answers."""
+        try:
+            head = await self.fresh_head()
+            return frames.Floor(head["version"], True)
+        except PlatformError:
+            return frames.Floor(self._remembered(address), False)
+
+    def _remembered(self, address: str) -> int:
+        state = self._control.versions
+        member = self._control.view.members_by_address.get(address)
+        remembered = member.version if member is not None else 0
+        return max(remembered, state.catalogue.version) if versions.is_ready(state) else 0
+
+    async def floor_loop(self) -> None:
+        """Learn the floor and catch up with it; back off with full jitter."""
+        failures = 0
+        while not self._is_caught_up():
+            if failures:
+                ceiling = min(FLOOR_BACKOFF_MAX_S, FLOOR_BACKOFF_S * 2**failures)
+                await asyncio.sleep(self._rng.uniform(0, ceiling))
+            failures += 1
+            if self._control.versions.floor is None:
+                await self._find_floor(failures)
+            if self._control.versions.floor is not None:
+                await self._reach_floor()
+        self.waiting_for = ""
+
+    def _is_caught_up(self) -> bool:
+        state = self._control.versions
+        return state.floor is not None and state.catalogue.version >= state.floor
+
+    async def join_loop(self) -> None:
+        """Join by a seed, and compare views now and then for splits that outlive gossip."""
+        seeds = [a for a in self._control.settings.seeds if a != self._control.view.me.address]
+        failures = 0
+        while seeds:
+            joined = await self._control.reconcile(self._rng.choice(seeds))
+            failures = 0 if joined else failures + 1
+            ceiling = min(FLOOR_BACKOFF_MAX_S, FLOOR_BACKOFF_S * 2**failures)
+            wait = RECONCILE_EVERY_S * self._rng.uniform(0.8, 1.2)
+            await asyncio.sleep(wait if joined else self._rng.uniform(0, ceiling))
+
+    def _peers(self) -> list[Member]:
+        me = self._control.view.me
+        return [m for m in membership.reachable(self._control.view) if m.address != me.address]
+
+    def _local_peers(self) -> list[Member]:
+        own = self._control.view.me.data_centre
+        return [m for m in self._peers() if m.data_centre == own]
+
+    async def _find_floor(self, attempt: int) -> None:
+        me = self._control.view.me
+        local = self._local_peers()
+        readers = top("reader", [*local, me], READERS_PER_DATA_CENTRE)
+        others = [m for m in readers if m.address != me.address]
+        if me in readers or not others or attempt % OWN_READ_EVERY == 0:
+            if await self._floor_from_platform():
+                return
+        elif await self._floor_from_reader(self._rng.choice(others)):
+            return
+        await self._floor_from_peers(local)
+
+    async def _floor_from_platform(self) -> bool:
+        try:
+            head = await self.fresh_head()
+        except PlatformError as error:
+            self._wait_for(f"the platform ({error})")
+            return False
+        self._control.set_floor(head["version"], "read from the platform")
+        return True
+
+    async def _floor_from_reader(self, reader: Member) -> bool:
+        request = frames.FloorRequest(self._control.view.me.address)
+        try:
+            answer = await self._control.ask(reader.address, request, "floor")
+        except LinkLost as error:
+            self._wait_for(f"the reader {reader.address} ({error})")
+            return False
+        if not isinstance(answer, frames.Floor) or not answer.confirmed:
+            self._wait_for(f"the platform (as {reader.address} says)")
+            return False
+        self._control.set_floor(answer.version, f"confirmed by reader {reader.address}")
+        return True
+
+    async def _floor_from_peers(self, local: list[Member]) -> None:
+        """Take what every living peer of the data centre says, while the platform is away."""
+        if self._control.versions.floor is not None or not local:
+            return
+        request = frames.FloorRequest(self._control.view.me.address)
+        asked = [self._control.ask(m.address, request, "floor") for m in local]
+        answers = await asyncio.gather(*asked, return_exceptions=True)
+        floors: list[frames.Floor] = []
+        for member, answer in zip(local, answers, strict=True):
+            if isinstance(answer, frames.Floor):
+                floors.append(answer)
+            elif member.status is Status.ALIVE:
+                self._wait_for(f"peer {member.address} ({answer})")
+                return
+        highest = max((floor.version for floor in floors), default=0)
+        if any(floor.confirmed for floor in floors) or highest == 0:
+            return
+        self._control.set_floor(highest, f"agreed by {len(floors)} peers, platform away")
+
+    def _wait_for(self, what: str) -> None:
+        if what != self.waiting_for:
+            log.warning("not ready", extra={"waiting_for": what})
+        self.waiting_for = what
+
+    async def _reach_floor(self) -> None:
+        state = self._control.versions
+        peers = [m for m in self._local_peers() or self._peers() if m.version > 0]
+        if peers:
+            await self._control.pull(self._rng.choice(peers).address)
+        if state.catalogue.version < (state.floor or 0):
+            try:
+                await self.catch_up(await self.fresh_head())
+            except PlatformError as error:
+                self._wait_for(f"version {state.floor} from peers or the platform ({error})")
+
+    def describe(self) -> dict[str, Any]:
+        """Return what this daemon waits for and how it reads."""
+        me, members = self._control.view.me, membership.reachable(self._control.view)
+        return {
+            "waiting_for": self.waiting_for or _unready_reason(self._control),
+            "is_reader": is_reader(me, members),
+            "platform_reads": self.reads,
+            "platform_errors": self.errors,
+        }
--- /dev/null
+++ b/hornbeamgw/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Cap'n Proto schema of the messages between daemons."""
--- /dev/null
+++ b/hornbeamgw/schema/messages.capnp
@@ -0,0 +1,129 @@
+# Messages between daemons: Frame on a TCP link (length-prefixed), Datagram over UDP.
+@0xb5f0c2a41e7d9c63;
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    heartbeat @1 :Bool;
+    call @2 :Call;
+    body @3 :Body;
+    reply @4 :Reply;
+    refusal @5 :Refusal;
+    credit @6 :Credit;
+    cancel @7 :UInt64;
+    question @8 :Question;
+    resolution @9 :Resolution;
+    pull @10 :UInt64;
+    deltas @11 :List(Data);
+    snapshot @12 :Data;
+    viewRequest @13 :Member;
+    view @14 :List(Member);
+    floorRequest @15 :Text;
+    floor @16 :Floor;
+  }
+}
+
+struct Hello {
+  fleet @0 :Text;
+  member @1 :Text;
+  incarnation @2 :UInt64;
+}
+
+struct Call {
+  attempt @0 :UInt64;
+  callId @1 :Text;
+  service @2 :Text;
+  entry @3 :Text;
+  idempotent @4 :Bool;
+  deadlineMs @5 :UInt32;
+  retryBudget @6 :UInt8;
+  head @7 :Data;
+  body @8 :Data;
+  end @9 :Bool;
+}
+
+struct Body {
+  attempt @0 :UInt64;
+  data @1 :Data;
+  end @2 :Bool;
+}
+
+struct Reply {
+  attempt @0 :UInt64;
+  status @1 :UInt16;
+  head @2 :Data;
+  body @3 :Data;
+  end @4 :Bool;
+  freeSlots @5 :UInt16;
+}
+
+struct Refusal {
+  attempt @0 :UInt64;
+  mayHaveRun @1 :Bool;
+  reason @2 :Text;
+  detail @3 :Text;
+  retryAfterMs @4 :UInt32;
+  freeSlots @5 :UInt16;
+}
+
+struct Credit {
+  attempt @0 :UInt64;
+  bytes @1 :UInt32;
+}
+
+struct Question {
+  attempt @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
+struct Resolution {
+  attempt @0 :UInt64;
+  mayHaveRun @1 :Bool;
+}
+
+struct Floor {
+  version @0 :UInt64;
+  confirmed @1 :Bool;
+}
+
+struct Member {
+  address @0 :Text;
+  dataCentre @1 :Text;
+  region @2 :Text;
+  incarnation @3 :UInt64;
+  sequence @4 :UInt32;
+  status @5 :UInt8;
+  service @6 :Text;
+  serverState @7 :UInt8;
+  slots @8 :UInt16;
+  version @9 :UInt64;
+  admin @10 :Text;
+}
+
+struct Datagram {
+  fleet @0 :UInt64;
+  sender @1 :Text;
+  version @2 :UInt64;
+  digest @3 :UInt64;
+  gossip @4 :List(Member);
+  union {
+    probe @5 :UInt32;
+    ack @6 :UInt32;
+    indirect @7 :Indirect;
+    push @8 :Push;
+    have @9 :Bool;
+  }
+}
+
+struct Indirect {
+  nonce @0 :UInt32;
+  target @1 :Text;
+}
+
+struct Push {
+  version @0 :UInt64;
+  scope @1 :UInt8;
+  low @2 :Text;
+  high @3 :Text;
+  delta @4 :Data;
+}
--- /dev/null
+++ b/hornbeamgw/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that users may use in tests of their own."""
