--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import hashlib
 import math
 import random
 from collections.abc import Iterable
@@ -90,6 +91,8 @@
 GOSSIP_PER_MESSAGE = 6
 GOSSIP_FACTOR = 3
 RETRY_DEAD_ONE_IN = 10
+MISMATCHES_TO_RECONCILE = 3
+RECONCILE_SPACING_S = 2.0
 
 
 class _Pending(NamedTuple):
@@ -98,6 +101,11 @@
     indirect: bool
 
 
+def _record_hash(member: Member) -> int:
+    named = f"{member.address}|{member.incarnation}|{member.sequence}|{member.status:d}"
+    return int.from_bytes(hashlib.blake2b(named.encode(), digest_size=8).digest(), "big")
+
+
 class MembershipState:
     """Hold the view of one member."""
 
@@ -114,14 +122,24 @@
         self.probe_order: list[str] = []
         self.next_nonce = 1
         self.generation = 0
+        self.view_hash = _record_hash(me)
+        self.mismatches = 0
+        self.reconciled_at = -RECONCILE_SPACING_S
 
 
 def _gossip_count(state: MembershipState) -> int:
     return GOSSIP_FACTOR * max(1, math.ceil(math.log2(len(state.members_by_address) + 1) / 2))
 
 
+def _rehash(state: MembershipState, old: Member | None, new: Member | None) -> None:
+    for record in (old, new):
+        if record is not None:
+            state.view_hash ^= _record_hash(record)
+
+
 def _store(state: MembershipState, member: Member, now: float) -> None:
     address = member.address
+    _rehash(state, state.members_by_address.get(address), member)
     state.members_by_address[address] = member
     state.gossip_left_by_address[address] = _gossip_count(state)
     state.generation += 1
@@ -173,6 +191,20 @@
         state.members_by_address[address] = held._replace(version=version)
 
 
+def should_reconcile(state: MembershipState, view_hash: int, now: float) -> bool:
+    """Return whether views still differ although there is nothing left to gossip."""
+    if view_hash == state.view_hash:
+        state.mismatches = 0
+        return False
+    state.mismatches += not state.gossip_left_by_address
+    waited = now - state.reconciled_at >= RECONCILE_SPACING_S
+    if state.mismatches < MISMATCHES_TO_RECONCILE or not waited:
+        return False
+    state.mismatches = 0
+    state.reconciled_at = now
+    return True
+
+
 def gossip_for(state: MembershipState, recipient: str) -> list[Member]:
     """Return the records to send along, the recipient's own first where it is doubted."""
     chosen: list[Member] = []
@@ -255,7 +287,7 @@
     for address, since in list(state.ended_at_by_address.items()):
         if now - since >= state.timing.forget:
             del state.ended_at_by_address[address]
-            state.members_by_address.pop(address, None)
+            _rehash(state, state.members_by_address.pop(address, None), None)
             state.gossip_left_by_address.pop(address, None)
 
 
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -33,6 +33,7 @@
     sender: str
     version: int
     digest: int
+    view_hash: int
     gossip: Sequence[Member]
     message: DatagramMessage
 
@@ -283,6 +284,7 @@
     out.sender = datagram.sender
     out.version = datagram.version
     out.digest = datagram.digest
+    out.viewHash = datagram.view_hash
     if datagram.gossip:
         _write_members(out.init("gossip", len(datagram.gossip)), datagram.gossip)
     _write_message(out, datagram.message)
@@ -311,7 +313,10 @@
         if raw.fleet != fleet:
             raise CodecError("a datagram of another fleet")
         gossip = [_read_member(member) for member in raw.gossip]
-        return Datagram(raw.sender, raw.version, raw.digest, gossip, _read_message(raw))
+        message = _read_message(raw)
+        return Datagram(
+            raw.sender, raw.version, raw.digest, raw.viewHash, gossip, message
+        )
     except CodecError:
         raise
     except (capnp.KjException, ValueError, UnicodeError) as error:
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -103,6 +103,7 @@
             self.view.me.address,
             known.version,
             short_digest(known.digest),
+            self.view.view_hash,
             membership.gossip_for(self.view, to),
             message,
         )
@@ -121,6 +122,8 @@
         membership.merge(self.view, datagram.gossip, now)
         self._note_sender(datagram.sender, datagram.version)
         self._check_digest(datagram)
+        if membership.should_reconcile(self.view, datagram.view_hash, now):
+            self.spawn(self.reconcile(datagram.sender))
         if isinstance(datagram.message, Push):
             self._on_push(datagram.sender, datagram.message)
         elif isinstance(datagram.message, Probe | Ack | Indirect):
--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -226,7 +226,9 @@
         async with asyncio.timeout(self.timeout):
             connection = await self._connection()
             try:
-                wanted = [(b"host", self.address.encode()), *(headers or [])]
+                wanted = list(headers or [])
+                if header(wanted, b"host") is None:
+                    wanted.insert(0, (b"host", self.address.encode()))
                 response = await _exchange(connection, method, target, wanted, body)
             except BaseException:
                 connection.abort()
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -113,6 +113,7 @@
     push @8 :Push;
     have @9 :Bool;
   }
+  viewHash @10 :UInt64;
 }
 
 struct Indirect {
