--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -187,8 +187,11 @@
 def note_version(state: MembershipState, address: str, version: int) -> None:
     """Remember the highest version that an address said it applied."""
     held = state.members_by_address.get(address)
-    if held is not None and version > held.version:
-        state.members_by_address[address] = held._replace(version=version)
+    if held is None or version <= held.version:
+        return
+    state.members_by_address[address] = held._replace(version=version)
+    if address == state.me.address:
+        state.me = state.members_by_address[address]
 
 
 def should_reconcile(state: MembershipState, view_hash: int, now: float) -> bool:
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -174,6 +174,7 @@
                 extra={"version": self.versions.catalogue.version, "problems": problems},
             )
         if learned.applied is not None:
+            membership.note_version(self.view, self.view.me.address, learned.applied.version)
             log.info(
                 "version in force",
                 extra={
--- a/hornbeamgw/daemon/http_server.py
+++ b/hornbeamgw/daemon/http_server.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from hornbeamgw.core.options import split_address
-from hornbeamgw.daemon.http1 import ConnectionLost, Headers, HttpConnection
+from hornbeamgw.daemon.http1 import MAX_HEAD, ConnectionLost, Headers, HttpConnection
 
 log = logging.getLogger(__name__)
 
@@ -63,6 +63,12 @@
             raise BadRequest(413, f"body over {limit} bytes")
 
 
+def _check_head_size(request: h11.Request) -> None:
+    size = len(request.target) + sum(len(name) + len(value) for name, value in request.headers)
+    if size > MAX_HEAD:
+        raise BadRequest(431, f"a head of {size} bytes, expected {MAX_HEAD} at most")
+
+
 async def _next_request(connection: HttpConnection, timeouts: Timeouts) -> h11.Request | None:
     event = connection.poll()
     if event is None and not connection.has_input():
@@ -74,7 +80,10 @@
                 event = await connection.next_event()
         except TimeoutError:
             raise BadRequest(408, "the request's head did not arrive in time") from None
-    return event if isinstance(event, h11.Request) else None
+    if not isinstance(event, h11.Request):
+        return None
+    _check_head_size(event)
+    return event
 
 
 async def _first_input(connection: HttpConnection) -> Any:
--- a/hornbeamgw/daemon/peers.py
+++ b/hornbeamgw/daemon/peers.py
@@ -21,7 +21,7 @@
         self._reader = reader
         self._gate = gate
         self._server: asyncio.Server | None = None
-        self._links: set[Link] = set()
+        self.links: set[Link] = set()
 
     async def start(self, address: str) -> None:
         """Listen; raise OSError."""
@@ -31,11 +31,11 @@
 
     def _accept(self) -> Link:
         link = Link(self._control.hello, self._on_frame, self._on_lost, self._control.fault)
-        self._links.add(link)
+        self.links.add(link)
         return link
 
     def _on_lost(self, link: Link) -> None:
-        self._links.discard(link)
+        self.links.discard(link)
         self._gate.on_lost(link)
 
     def _on_frame(self, link: Link, frame: frames.Frame) -> None:
@@ -60,9 +60,16 @@
     async def _answer_floor(self, link: Link, address: str) -> None:
         self._answer(link, "floor", await self._reader.answer_floor(address))
 
+    def abort(self) -> None:
+        """Stop to listen and break the links."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self.links):
+            link.abort()
+
     def close(self) -> None:
         """Stop to listen and close the links."""
         if self._server is not None:
             self._server.close()
-        for link in list(self._links):
+        for link in list(self.links):
             link.close()
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -27,6 +27,7 @@
 FLOOR_BACKOFF_MAX_S = 4.0
 OWN_READ_EVERY = 3
 RECONCILE_EVERY_S = 300.0
+JOIN_TRIES = 3
 
 PLATFORM = "platform"
 
@@ -58,6 +59,7 @@
         self._next_read: asyncio.Task[Head] | None = None
         self._read_begun = False
         self._last_read_at = -1e9
+        self._join_tried = asyncio.Event()
 
     async def fresh_head(self) -> Head:
         """Return the head by a read begun after this call; raise PlatformError.
@@ -146,6 +148,7 @@
 
     async def floor_loop(self) -> None:
         """Learn the floor and catch up with it; back off with full jitter."""
+        await self._join_tried.wait()
         failures = 0
         while not self._is_caught_up():
             if failures:
@@ -166,9 +169,13 @@
         """Join by a seed, and compare views now and then for splits that outlive gossip."""
         seeds = [a for a in self._control.settings.seeds if a != self._control.view.me.address]
         failures = 0
+        if not seeds:
+            self._join_tried.set()
         while seeds:
             joined = await self._control.reconcile(self._rng.choice(seeds))
             failures = 0 if joined else failures + 1
+            if joined or failures >= JOIN_TRIES:
+                self._join_tried.set()
             ceiling = min(FLOOR_BACKOFF_MAX_S, FLOOR_BACKOFF_S * 2**failures)
             wait = RECONCILE_EVERY_S * self._rng.uniform(0.8, 1.2)
             await asyncio.sleep(wait if joined else self._rng.uniform(0, ceiling))
--- a/hornbeamgw/testing/backend.py
+++ b/hornbeamgw/testing/backend.py
@@ -88,6 +88,13 @@
         except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError) as error:
             log.info("announcement not taken", extra={"error": str(error)})
 
+    def close(self) -> None:
+        """Stop at once, as a server that dies."""
+        self._renewal.cancel()
+        self._server.stop_accepting()
+        self._server.abort()
+        self._announcer.close()
+
     async def drain(self) -> None:
         """Announce that this server leaves, and wait for what runs."""
         self.state = "draining"
--- a/hornbeamgw/testing/demo.py
+++ b/hornbeamgw/testing/demo.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-from hornbeamgw.core.edit import GENESIS, Change, Edit, changes_of
 from hornbeamgw.core.catalogue import ParsedFile, parse_file
+from hornbeamgw.core.edit import GENESIS, Change, Edit, changes_of
 from hornbeamgw.daemon.http1 import HttpClient
 from hornbeamgw.testing.fleet import Fleet, Node, Place, ask
 from hornbeamgw.testing.load import KINDS, Load, audit, call
--- a/hornbeamgw/testing/load.py
+++ b/hornbeamgw/testing/load.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from hornbeamgw.core.verdict import Verdict
-from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, Response, header
 from hornbeamgw.daemon.heads import VERDICT
+from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, Response, header
 
 CALL_TIMEOUT_S = 70.0
 RECONNECT_PAUSE_S = 0.05
