Move what a daemon decides about versions and members into a pure node

Cause: the control task mixed decisions with sockets and timers, so that the randomised runs could not drive them.

--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -39,7 +39,9 @@
     context.decisions = [arrive(context, service, Limits(2, 0, 0))]
 
 
-@when('{n:d} requests of "{entry}" with {slots:d} slots, {res:d} reserved and queue {queue:d} arrive')
+@when(
+    '{n:d} requests of "{entry}" with {slots:d} slots, {res:d} reserved and queue {queue:d} arrive'
+)
 def many(context, n, entry, slots, res, queue):
     limits = Limits(slots, res, queue)
     context.decisions = [arrive(context, "roster", limits, entry) for _ in range(n)]
--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -97,7 +97,10 @@
 
 @then("the answer is whole and ran once")
 def whole(context):
-    assert context.error is None and context.response.status == 200, (context.error, context.response)
+    assert context.error is None and context.response.status == 200, (
+        context.error,
+        context.response,
+    )
     if context.size is None:
         document = msgspec.json.decode(context.response.body)
         assert document == {"request_id": "r1", "received": context.sent}
--- a/features/steps/commit.py
+++ b/features/steps/commit.py
@@ -229,5 +229,3 @@
     late = context.runner.run(start())
     first = context.fleet.daemons[0].control.versions.snapshot
     assert late.control.versions.snapshot.digest == first.digest
-
-
--- a/features/steps/hostile.py
+++ b/features/steps/hostile.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from hornbeamgw.core.membership import Member, Probe
+from hornbeamgw.core.node import Envelope
 from hornbeamgw.core.options import split_address
 from hornbeamgw.daemon import codec, frames
 from hornbeamgw.daemon.committer import Committed
@@ -105,7 +106,7 @@
 @when("a datagram of another fleet brings a member and a version")
 def foreign(context):
     stranger = Member("127.0.0.1:9", "x", "y", 1)
-    datagram = codec.Datagram("127.0.0.1:9", 9, 9, 9, [stranger], Probe(1))
+    datagram = Envelope("127.0.0.1:9", 9, 9, 9, [stranger], Probe(1))
     payload = codec.encode_datagram(codec.fleet_hash("another"), datagram)
 
     async def send():
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from behave import given, then, when
+
 from hornbeamgw.core import invariants, versions
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.committer import Committed
@@ -97,8 +98,8 @@
     versions.set_floor(fresh, 1, 0.0)
     versions.learn_deltas(fresh, blobs, versions.Origin(versions.Path.PULL, "t"), 0.0)
     control = context.fleet.daemons[1].control
-    control.versions = fresh
-    control.want = lambda version, sender: None
+    control.node.versions = fresh
+    control.node.pulls.not_before = float("inf")
     assert fresh.snapshot.version == 2
 
 
--- /dev/null
+++ b/hornbeamgw/core/node.py
@@ -0,0 +1,336 @@
+"""Node: what one daemon decides about membership and versions, message by message.
+
+Each function takes the node, a message and the present time, and returns effects for its
+carrier: messages to send, exchanges to begin, and times at which to be called again. Nothing
+here does I/O or reads a clock; the daemon's control task carries the effects over the network,
+and the randomised runs carry them through loss, delay and partitions.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from hornbeamgw.core import invariants, membership, spreading, versions
+from hornbeamgw.core.catalogue import short_digest
+from hornbeamgw.core.membership import (
+    Ack,
+    Indirect,
+    Member,
+    MembershipState,
+    Probe,
+    ServerState,
+    Status,
+    Timing,
+)
+from hornbeamgw.core.spreading import HIGHEST, LOWEST, Have, PullState, Push, Scope, Target
+from hornbeamgw.core.versions import Learned, Origin, Path, VersionState
+
+MAX_PUSHED_DELTA = 1200
+URGENT_TARGETS = 4
+PUSH_GRACE_S = 0.1
+
+Message = Probe | Ack | Indirect | Push | Have
+
+
+class Moment(NamedTuple):
+    """Hold the present time twice (s): for intervals, and as others' clocks show it."""
+
+    now: float
+    wall: float
+
+
+class Envelope(NamedTuple):
+    """Hold a control message with the sender's version and gossip."""
+
+    sender: str
+    version: int
+    digest: int
+    view_hash: int
+    gossip: Sequence[Member]
+    message: Message
+
+
+class Send(NamedTuple):
+    """Send a datagram to an address."""
+
+    to: str
+    envelope: Envelope
+
+
+class StartPull(NamedTuple):
+    """Ask an address for what follows the known version."""
+
+    source: str
+
+
+class StartReconcile(NamedTuple):
+    """Exchange whole views with an address."""
+
+    address: str
+
+
+class WakeAt(NamedTuple):
+    """Call check() at a time."""
+
+    at: float
+
+
+class Report(NamedTuple):
+    """Tell what a message changed."""
+
+    learned: Learned
+    origin: Origin
+
+
+class Duplicate(NamedTuple):
+    """Tell that a push came for a version already known."""
+
+    sender: str
+
+
+class Unanswered(NamedTuple):
+    """Tell that the receiver of a push did not answer."""
+
+    address: str
+
+
+class Mismatch(NamedTuple):
+    """Tell that another daemon has another catalogue under the same version."""
+
+    sender: str
+
+
+Effect = Send | StartPull | StartReconcile | WakeAt | Report | Duplicate | Unanswered | Mismatch
+
+
+class _Sent(NamedTuple):
+    push: Push
+    due: float
+    avoided: frozenset[str]
+
+
+class _Hint(NamedTuple):
+    version: int
+    sender: str
+    due: float
+
+
+class Node:
+    """Hold everything that one daemon knows of the fleet and the catalogue."""
+
+    def __init__(self, me: Member, timing: Timing) -> None:
+        """Start with a view of oneself and no version."""
+        self.view = MembershipState(me, timing)
+        self.versions = VersionState()
+        self.pulls = PullState()
+        self.sent_by_address: dict[str, _Sent] = {}
+        self.hints: list[_Hint] = []
+
+
+def envelope(node: Node, to: str, message: Message) -> Envelope:
+    """Return a message with one's version, the hash of one's view, and some gossip."""
+    known = node.versions.catalogue
+    gossip = [] if isinstance(message, Push) else membership.gossip_for(node.view, to)
+    return Envelope(
+        node.view.me.address,
+        known.version,
+        short_digest(known.digest),
+        node.view.view_hash,
+        gossip,
+        message,
+    )
+
+
+def _send(node: Node, to: str, message: Message) -> Send:
+    return Send(to, envelope(node, to, message))
+
+
+def _carry(node: Node, outgoing: Sequence[membership.Outgoing]) -> list[Effect]:
+    return [_send(node, o.to, o.message) for o in outgoing]
+
+
+# Versions
+
+
+def _take(node: Node, learned: Learned, origin: Origin) -> list[Effect]:
+    if learned.applied is not None:
+        membership.note_version(node.view, node.view.me.address, learned.applied.version)
+    return [Report(learned, origin)]
+
+
+def learn_deltas(
+    node: Node, blobs: Sequence[bytes], origin: Origin, moment: Moment
+) -> tuple[bool, list[Effect]]:
+    """Take deltas; return whether they were new."""
+    learned = versions.learn_deltas(node.versions, blobs, origin, moment.wall)
+    return learned.advanced, _take(node, learned, origin)
+
+
+def learn_catalogue(
+    node: Node, blob: bytes, origin: Origin, moment: Moment
+) -> tuple[bool, list[Effect]]:
+    """Take a whole catalogue; return whether it was new."""
+    learned = versions.learn_catalogue(node.versions, blob, origin, moment.wall)
+    return learned.advanced, _take(node, learned, origin)
+
+
+def set_floor(node: Node, floor: int, why: str, moment: Moment) -> list[Effect]:
+    """Record the floor, and apply what is known where it is high enough."""
+    learned = versions.set_floor(node.versions, floor, moment.wall)
+    return _take(node, learned, Origin(Path.SNAPSHOT, why))
+
+
+def push(
+    node: Node,
+    moment: Moment,
+    scope: Scope = Scope.FLEET,
+    low: str = LOWEST,
+    high: str = HIGHEST,
+) -> list[Effect]:
+    """Push the newest version to those that this node answers for."""
+    version = node.versions.catalogue.version
+    members = membership.reachable(node.view)
+    effects: list[Effect] = []
+    for target in spreading.targets(node.view.me, members, version, scope, low, high):
+        effects += _push_to(node, target, version, frozenset(), moment)
+    return effects
+
+
+def _push_to(
+    node: Node, target: Target, version: int, avoided: frozenset[str], moment: Moment
+) -> list[Effect]:
+    delta = node.versions.deltas_by_version.get(version, b"")
+    carried = delta if len(delta) <= MAX_PUSHED_DELTA else b""
+    message = Push(version, target.scope, target.low, target.high, carried)
+    due = moment.now + spreading.PUSH_ACK_TIMEOUT
+    node.sent_by_address[target.address] = _Sent(message, due, avoided)
+    return [_send(node, target.address, message), WakeAt(due)]
+
+
+def _repush(node: Node, address: str, sent: _Sent, moment: Moment) -> list[Effect]:
+    del node.sent_by_address[address]
+    effects: list[Effect] = [Unanswered(address)]
+    failed = node.view.members_by_address.get(address)
+    avoided = sent.avoided | {address}
+    if failed is None or len(avoided) > spreading.PUSH_ROUNDS:
+        return effects
+    members = membership.reachable(node.view)
+    for target in spreading.retarget(node.view.me, members, failed, sent.push, avoided):
+        effects += _push_to(node, target, sent.push.version, avoided, moment)
+    return effects
+
+
+def _on_push(node: Node, sender: str, message: Push, moment: Moment) -> list[Effect]:
+    known = node.versions.catalogue.version
+    if message.version <= known:
+        return [Duplicate(sender), _send(node, sender, Have())]
+    if message.delta and message.version == known + 1:
+        origin = Origin(Path.PUSH, sender)
+        advanced, effects = learn_deltas(node, [message.delta], origin, moment)
+        if advanced:
+            effects += push(node, moment, message.scope, message.low, message.high)
+            return [*effects, _send(node, sender, Have())]
+    node.pulls.forward = message
+    return want(node, message.version, sender, moment)
+
+
+def want(node: Node, version: int, sender: str, moment: Moment) -> list[Effect]:
+    """Pull from a sender that holds a higher version, unless a pull is under way."""
+    known = node.versions.catalogue.version
+    source = spreading.want(node.pulls, known, version, sender, moment.now)
+    return [] if source is None else [StartPull(source)]
+
+
+def pull_ended(
+    node: Node, source: str, known_before: int, moment: Moment, rng: random.Random
+) -> list[Effect]:
+    """Note the end of a pull, answer for it, and pass on what waited for it."""
+    moved = node.versions.catalogue.version > known_before
+    spreading.ended(node.pulls, moved, moment.now, rng)
+    effects: list[Effect] = [_send(node, source, Have())] if moved else []
+    forward = node.pulls.forward
+    if forward is not None and node.versions.catalogue.version >= forward.version:
+        node.pulls.forward = None
+        effects += push(node, moment, forward.scope, forward.low, forward.high)
+    return effects
+
+
+# Messages
+
+
+def receive(node: Node, received: Envelope, moment: Moment, rng: random.Random) -> list[Effect]:
+    """Take a control message."""
+    membership.merge(node.view, received.gossip, moment.now)
+    effects = _note_sender(node, received)
+    if membership.should_reconcile(node.view, received.view_hash, moment.now):
+        effects.append(StartReconcile(received.sender))
+    if isinstance(received.message, Push):
+        effects += _on_push(node, received.sender, received.message, moment)
+    elif not isinstance(received.message, Have):
+        out = membership.receive(node.view, received.sender, received.message, moment.now)
+        effects += _carry(node, out)
+    if received.version > node.versions.catalogue.version:
+        due = moment.now + rng.uniform(1, 2) * PUSH_GRACE_S
+        node.hints.append(_Hint(received.version, received.sender, due))
+        effects.append(WakeAt(due))
+    return effects
+
+
+def _note_sender(node: Node, received: Envelope) -> list[Effect]:
+    effects: list[Effect] = []
+    held = node.view.members_by_address.get(received.sender)
+    if held is None or held.status >= Status.DEAD:
+        effects.append(StartReconcile(received.sender))
+    membership.note_version(node.view, received.sender, received.version)
+    sent = node.sent_by_address.get(received.sender)
+    if sent is not None and received.version >= sent.push.version:
+        del node.sent_by_address[received.sender]
+    known = node.versions.catalogue
+    if received.version == known.version:
+        same = received.digest == short_digest(known.digest)
+        if not invariants.check(invariants.ONE_CATALOGUE_PER_VERSION, same):
+            effects.append(Mismatch(received.sender))
+    return effects
+
+
+def tick(node: Node, moment: Moment, rng: random.Random) -> list[Effect]:
+    """Probe the next member; call once a probe interval."""
+    return _carry(node, membership.tick(node.view, moment.now, rng))
+
+
+def check(node: Node, moment: Moment, rng: random.Random) -> list[Effect]:
+    """Follow up probes, pushes and versions heard of; call when asked to."""
+    effects = _carry(node, membership.check(node.view, moment.now, rng))
+    for address, sent in list(node.sent_by_address.items()):
+        if moment.now >= sent.due:
+            effects += _repush(node, address, sent, moment)
+    due = [hint for hint in node.hints if moment.now >= hint.due]
+    node.hints = [hint for hint in node.hints if moment.now < hint.due]
+    for hint in due:
+        effects += want(node, hint.version, hint.sender, moment)
+    return effects
+
+
+def join(node: Node, member: Member, moment: Moment) -> list[Member]:
+    """Take the record of a daemon that joins, and return the view to answer with."""
+    membership.merge(node.view, [member], moment.now)
+    return list(node.view.members_by_address.values())
+
+
+def change_me(node: Node, moment: Moment, rng: random.Random, **fields: object) -> list[Effect]:
+    """Change one's own record and tell some members at once."""
+    membership.update_me(node.view, moment.now, **fields)
+    others = sorted(m.address for m in membership.reachable(node.view))
+    others = [address for address in others if address != node.view.me.address]
+    chosen = rng.sample(others, min(URGENT_TARGETS, len(others)))
+    return [_send(node, address, Have()) for address in chosen]
+
+
+def leave(node: Node, moment: Moment, rng: random.Random) -> list[Effect]:
+    """Tell the whole data centre that this daemon is gone, so that nobody relays by it."""
+    me = node.view.me
+    effects = change_me(node, moment, rng, status=Status.LEFT, server_state=ServerState.NONE)
+    local = [m for m in membership.reachable(node.view) if m.data_centre == me.data_centre]
+    return effects + [_send(node, m.address, Have()) for m in local]
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -5,11 +5,12 @@
 import hashlib
 from collections.abc import Callable, Sequence
 from importlib import resources
-from typing import Any, NamedTuple
+from typing import Any
 
 import capnp
 
 from hornbeamgw.core.membership import Ack, Indirect, Member, Probe, ServerState, Status
+from hornbeamgw.core.node import Envelope, Message
 from hornbeamgw.core.spreading import Have, Push, Scope
 from hornbeamgw.core.verdict import Failure, Reason, Verdict
 from hornbeamgw.daemon import frames
@@ -20,24 +21,11 @@
 MAX_FRAME = 16 * 1024 * 1024
 LENGTH_BYTES = 4
 
-DatagramMessage = Probe | Ack | Indirect | Push | Have
-
 
 class CodecError(ValueError):
     """Say that bytes are no message of this protocol."""
 
 
-class Datagram(NamedTuple):
-    """Hold a control message with the sender's version and gossip."""
-
-    sender: str
-    version: int
-    digest: int
-    view_hash: int
-    gossip: Sequence[Member]
-    message: DatagramMessage
-
-
 def fleet_hash(fleet: str) -> int:
     """Return the number that stands for a fleet in a datagram."""
     return int.from_bytes(hashlib.blake2b(fleet.encode(), digest_size=8).digest(), "big")
@@ -263,7 +251,7 @@
     raw.delta = push.delta
 
 
-def _write_message(out: Any, message: DatagramMessage) -> None:
+def _write_message(out: Any, message: Message) -> None:
     if isinstance(message, Probe):
         out.probe = message.nonce
     elif isinstance(message, Ack):
@@ -277,7 +265,7 @@
         out.have = True
 
 
-def encode_datagram(fleet: int, datagram: Datagram) -> bytes:
+def encode_datagram(fleet: int, datagram: Envelope) -> bytes:
     """Return a datagram in packed form."""
     out = _schema.Datagram.new_message()
     out.fleet = fleet
@@ -292,7 +280,7 @@
     return packed
 
 
-def _read_message(raw: Any) -> DatagramMessage:
+def _read_message(raw: Any) -> Message:
     kind = str(raw.which())
     if kind == "probe":
         return Probe(raw.probe)
@@ -306,7 +294,7 @@
     return Have()
 
 
-def decode_datagram(fleet: int, payload: bytes) -> Datagram:
+def decode_datagram(fleet: int, payload: bytes) -> Envelope:
     """Return the datagram in a payload; raise CodecError where it is none of this fleet."""
     try:
         raw = _schema.Datagram.from_bytes_packed(payload)
@@ -314,7 +302,7 @@
             raise CodecError("a datagram of another fleet")
         gossip = [_read_member(member) for member in raw.gossip]
         message = _read_message(raw)
-        return Datagram(raw.sender, raw.version, raw.digest, raw.viewHash, gossip, message)
+        return Envelope(raw.sender, raw.version, raw.digest, raw.viewHash, gossip, message)
     except CodecError:
         raise
     except (capnp.KjException, ValueError, UnicodeError) as error:
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -1,4 +1,4 @@
-"""Control: carries membership and versions between daemons, over UDP and short TCP links."""
+"""Control: carries what a node decides, over UDP and short TCP links."""
 
 from __future__ import annotations
 
@@ -6,35 +6,25 @@
 import logging
 import random
 import time
-from collections.abc import Callable
-
-from hornbeamgw.core import invariants, membership, spreading, versions
-from hornbeamgw.core.catalogue import short_digest
-from hornbeamgw.core.membership import (
-    Ack,
-    Indirect,
-    Member,
-    MembershipState,
-    Probe,
-    ServerState,
-    Status,
-)
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+from hornbeamgw.core import membership, node, versions
+from hornbeamgw.core.membership import Member, MembershipState
+from hornbeamgw.core.node import Effect, Moment, Node
 from hornbeamgw.core.options import Settings, split_address
 from hornbeamgw.core.snapshot import Snapshot
-from hornbeamgw.core.spreading import HIGHEST, LOWEST, Have, PullState, Push, Scope
-from hornbeamgw.core.versions import Learned, Origin, Path, VersionState
+from hornbeamgw.core.versions import Origin, Path, VersionState
 from hornbeamgw.daemon import codec, frames
 from hornbeamgw.daemon.link import LinkLost, exchange
 from hornbeamgw.daemon.meter import Bucket, Meter
 
 log = logging.getLogger(__name__)
 
-MAX_PUSHED_DELTA = 1200
 EXCHANGE_TIMEOUT_S = 2.0
 TRANSFER_RATE = 256 * 1024
 TRANSFER_BURST = 1024 * 1024
-URGENT_TARGETS = 4
-PUSH_GRACE_S = 0.1
+VIEW_RECORD_BYTES = 100
 CHECKS_PER_PROBE = 5
 
 
@@ -46,8 +36,12 @@
         self._on_datagram(data)
 
 
+def _moment() -> Moment:
+    return Moment(asyncio.get_running_loop().time(), time.time())
+
+
 class Control:
-    """Own the view of the fleet, the catalogue and the UDP socket."""
+    """Own the node and the UDP socket."""
 
     def __init__(self, settings: Settings, me: Member, rng: random.Random) -> None:
         """Start with a view of oneself and no version."""
@@ -58,9 +52,7 @@
             settings.membership_ack_timeout,
             settings.membership_suspicion,
         )
-        self.view = MembershipState(me, timing)
-        self.versions = VersionState()
-        self.pulls = PullState()
+        self.node = Node(me, timing)
         self.meter = Meter()
         self.rng = rng
         self.on_applied: list[Callable[[Snapshot], None]] = []
@@ -69,7 +61,16 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._transfers = Bucket(TRANSFER_RATE, TRANSFER_BURST)
         self._whole: tuple[int, bytes] = (-1, b"")
-        self._pushed_by_address: dict[str, int] = {}
+
+    @property
+    def view(self) -> MembershipState:
+        """Return the view of the fleet."""
+        return self.node.view
+
+    @property
+    def versions(self) -> VersionState:
+        """Return what is known of the catalogue."""
+        return self.node.versions
 
     async def start(self, address: str) -> None:
         """Bind the UDP socket and begin to probe; raise OSError."""
@@ -79,9 +80,9 @@
         )
         self.spawn(self._probe_loop())
 
-    def spawn(self, coroutine: object) -> None:
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a task of this daemon until it ends; a failure is logged."""
-        task: asyncio.Task[None] = asyncio.create_task(coroutine)  # type: ignore[arg-type]
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._ended)
 
@@ -102,185 +103,121 @@
         self.meter.faults[what.partition(":")[0]] += 1
         log.warning("fault on a link", extra={"fault": what})
 
-    # Datagrams
+    # Effects
+
+    def _carry(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, node.Send):
+                self._send(effect)
+            elif isinstance(effect, node.StartPull):
+                self.spawn(self.pull(effect.source))
+            elif isinstance(effect, node.StartReconcile):
+                self.spawn(self._reconcile_once(effect.address))
+            elif isinstance(effect, node.WakeAt):
+                asyncio.get_running_loop().call_at(effect.at, self._check)
+            else:
+                self._note(effect)
+
+    def _note(self, effect: Effect) -> None:
+        if isinstance(effect, node.Report):
+            self._report(effect)
+        elif isinstance(effect, node.Duplicate):
+            self.meter.messages_in["duplicate_push"] += 1
+        elif isinstance(effect, node.Unanswered):
+            self.meter.faults["push without an answer"] += 1
+        elif isinstance(effect, node.Mismatch):
+            log.error("two catalogues of one version", extra={"sender": effect.sender})
 
-    def send(self, to: str, message: codec.DatagramMessage) -> None:
-        """Send a control message with one's version and some gossip."""
+    def _send(self, effect: node.Send) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        known = self.versions.catalogue
-        datagram = codec.Datagram(
-            self.view.me.address,
-            known.version,
-            short_digest(known.digest),
-            self.view.view_hash,
-            [] if isinstance(message, Push) else membership.gossip_for(self.view, to),
-            message,
+        payload = codec.encode_datagram(self._fleet, effect.envelope)
+        self.meter.sent(_kind(effect.envelope.message), len(payload))
+        self._transport.sendto(payload, split_address(effect.to))
+
+    def _report(self, report: node.Report) -> None:
+        learned, origin = report
+        if learned.fault:
+            log.warning("version not taken", extra={"fault": learned.fault, "origin": origin})
+        version = self.versions.catalogue.version
+        rejected = self.versions.rejected_by_version.get(version)
+        if learned.advanced and rejected:
+            problems = [str(problem) for problem in rejected]
+            log.error(
+                "version rejected; the last one stays in force whole",
+                extra={"version": version, "problems": problems},
+            )
+        if learned.applied is None:
+            return
+        log.info(
+            "version in force",
+            extra={
+                "version": learned.applied.version,
+                "path": origin.path,
+                "sender": origin.sender,
+            },
         )
-        payload = codec.encode_datagram(self._fleet, datagram)
-        self.meter.sent(_kind(message), len(payload))
-        self._transport.sendto(payload, split_address(to))
+        for callback in self.on_applied:
+            callback(learned.applied)
+
+    # Messages
 
     def _on_datagram(self, payload: bytes) -> None:
         try:
-            datagram = codec.decode_datagram(self._fleet, payload)
+            received = codec.decode_datagram(self._fleet, payload)
         except codec.CodecError as error:
             self.fault(f"bad datagram: {error}")
             return
-        now = asyncio.get_running_loop().time()
-        self.meter.received(_kind(datagram.message), len(payload))
-        membership.merge(self.view, datagram.gossip, now)
-        self._note_sender(datagram.sender, datagram.version)
-        if datagram.version >= self._pushed_by_address.get(datagram.sender, 1 << 62):
-            del self._pushed_by_address[datagram.sender]
-        self._check_digest(datagram)
-        if membership.should_reconcile(self.view, datagram.view_hash, now):
-            self.spawn(self.reconcile(datagram.sender))
-        if isinstance(datagram.message, Push):
-            self._on_push(datagram.sender, datagram.message)
-        if isinstance(datagram.message, Probe | Ack | Indirect):
-            out = membership.receive(self.view, datagram.sender, datagram.message, now)
-            for outgoing in out:
-                self.send(outgoing.to, outgoing.message)
-        if datagram.version > self.versions.catalogue.version:
-            asyncio.get_running_loop().call_later(
-                self.rng.uniform(1, 2) * PUSH_GRACE_S, self.want, datagram.version, datagram.sender
-            )
+        self.meter.received(_kind(received.message), len(payload))
+        self._carry(node.receive(self.node, received, _moment(), self.rng))
 
-    def _note_sender(self, sender: str, version: int) -> None:
-        held = self.view.members_by_address.get(sender)
-        if held is None or held.status >= Status.DEAD:
-            self.spawn(self.reconcile(sender))
-        membership.note_version(self.view, sender, version)
+    def _check(self) -> None:
+        self._carry(node.check(self.node, _moment(), self.rng))
 
-    def _check_digest(self, datagram: codec.Datagram) -> None:
-        known = self.versions.catalogue
-        if datagram.version == known.version:
-            same = datagram.digest == short_digest(known.digest)
-            if not invariants.check(invariants.ONE_CATALOGUE_PER_VERSION, same):
-                log.error("two catalogues of one version", extra={"sender": datagram.sender})
+    async def _probe_loop(self) -> None:
+        interval = self.view.timing.probe_interval
+        await asyncio.sleep(self.rng.uniform(0, interval))
+        while True:
+            self._carry(node.tick(self.node, _moment(), self.rng))
+            for _ in range(CHECKS_PER_PROBE):
+                await asyncio.sleep(interval / CHECKS_PER_PROBE)
+                self._check()
 
     # Versions
 
-    def learned(self, learned: Learned, origin: Origin) -> None:
-        """Report what a message changed."""
-        if learned.fault:
-            log.warning("version not taken", extra={"fault": learned.fault, "origin": origin})
-        rejected = self.versions.rejected_by_version.get(self.versions.catalogue.version)
-        if learned.advanced and rejected:
-            problems = [str(problem) for problem in rejected]
-            log.error(
-                "version rejected; the last one stays in force whole",
-                extra={"version": self.versions.catalogue.version, "problems": problems},
-            )
-        if learned.applied is not None:
-            membership.note_version(self.view, self.view.me.address, learned.applied.version)
-            log.info(
-                "version in force",
-                extra={
-                    "version": learned.applied.version,
-                    "path": origin.path,
-                    "sender": origin.sender,
-                },
-            )
-            for callback in self.on_applied:
-                callback(learned.applied)
-
-    def learn_deltas(self, blobs: list[bytes], origin: Origin) -> bool:
+    def learn_deltas(self, blobs: Sequence[bytes], origin: Origin) -> bool:
         """Take deltas and return whether they were new."""
-        learned = versions.learn_deltas(self.versions, blobs, origin, time.time())
-        self.learned(learned, origin)
-        return learned.advanced
+        advanced, effects = node.learn_deltas(self.node, blobs, origin, _moment())
+        self._carry(effects)
+        return advanced
 
     def learn_catalogue(self, blob: bytes, origin: Origin) -> bool:
         """Take a whole catalogue and return whether it was new."""
-        learned = versions.learn_catalogue(self.versions, blob, origin, time.time())
-        self.learned(learned, origin)
-        return learned.advanced
+        advanced, effects = node.learn_catalogue(self.node, blob, origin, _moment())
+        self._carry(effects)
+        return advanced
 
     def set_floor(self, floor: int, why: str) -> None:
         """Record the floor, and apply what is known where it is high enough."""
         log.info("floor is sure", extra={"floor": floor, "why": why})
-        learned = versions.set_floor(self.versions, floor, time.time())
-        origin = Origin(Path.SNAPSHOT, why)
-        self.learned(learned, origin)
-
-    def push(self, scope: Scope = Scope.FLEET, low: str = LOWEST, high: str = HIGHEST) -> None:
-        """Push the newest version to those that this daemon answers for."""
-        version = self.versions.catalogue.version
-        members = membership.reachable(self.view)
-        for target in spreading.targets(self.view.me, members, version, scope, low, high):
-            self._push_to(target, version, frozenset())
-
-    def _push_to(self, target: spreading.Target, version: int, avoided: frozenset[str]) -> None:
-        delta = self.versions.deltas_by_version.get(version, b"")
-        carried = delta if len(delta) <= MAX_PUSHED_DELTA else b""
-        push = Push(version, target.scope, target.low, target.high, carried)
-        self.send(target.address, push)
-        self._pushed_by_address[target.address] = version
-        asyncio.get_running_loop().call_later(
-            spreading.PUSH_ACK_TIMEOUT, self._check_push, target.address, push, avoided
-        )
-
-    def _check_push(self, address: str, push: Push, avoided: frozenset[str]) -> None:
-        if self._pushed_by_address.get(address) != push.version:
-            return
-        del self._pushed_by_address[address]
-        self.meter.faults["push without an answer"] += 1
-        failed = self.view.members_by_address.get(address)
-        avoided |= {address}
-        if failed is None or len(avoided) > spreading.PUSH_ROUNDS:
-            return
-        members = membership.reachable(self.view)
-        for target in spreading.retarget(self.view.me, members, failed, push, avoided):
-            self._push_to(target, push.version, avoided)
-
-    def _on_push(self, sender: str, push: Push) -> None:
-        known = self.versions.catalogue.version
-        if push.version <= known:
-            self.meter.messages_in["duplicate_push"] += 1
-            self.send(sender, Have())
-            return
-        origin = Origin(Path.PUSH, sender)
-        if push.delta and push.version == known + 1 and self.learn_deltas([push.delta], origin):
-            self.push(push.scope, push.low, push.high)
-            self.send(sender, Have())
-            return
-        self.pulls.forward = push
-        self.want(push.version, sender)
+        self._carry(node.set_floor(self.node, floor, why, _moment()))
 
-    def want(self, version: int, sender: str) -> None:
-        """Pull from a sender that holds a higher version, unless a pull is under way."""
-        now = asyncio.get_running_loop().time()
-        known = self.versions.catalogue.version
-        source = spreading.want(self.pulls, known, version, sender, now)
-        if source is not None:
-            self.spawn(self.pull(source))
+    def push(self) -> None:
+        """Push the newest version to the whole fleet."""
+        self._carry(node.push(self.node, _moment()))
 
     async def pull(self, source: str) -> None:
         """Fetch what follows the known version from another daemon."""
-        loop = asyncio.get_running_loop()
         known = self.versions.catalogue.version
-        advanced = False
         try:
             answer = await self.ask(source, frames.Pull(known), "pull")
             if isinstance(answer, frames.Deltas):
-                advanced = self.learn_deltas(list(answer.blobs), Origin(Path.PULL, source))
+                self.learn_deltas(answer.blobs, Origin(Path.PULL, source))
             elif isinstance(answer, frames.WholeCatalogue):
-                advanced = self.learn_catalogue(answer.blob, Origin(Path.SNAPSHOT, source))
+                self.learn_catalogue(answer.blob, Origin(Path.SNAPSHOT, source))
         except LinkLost as error:
             log.info("pull failed", extra={"source": source, "error": str(error)})
-        moved = advanced or self.versions.catalogue.version > known
-        spreading.ended(self.pulls, moved, loop.time(), self.rng)
-        if moved:
-            self.send(source, Have())
-        self._forward_pulled()
-
-    def _forward_pulled(self) -> None:
-        forward = self.pulls.forward
-        if forward is not None and self.versions.catalogue.version >= forward.version:
-            self.pulls.forward = None
-            self.push(forward.scope, forward.low, forward.high)
+        self._carry(node.pull_ended(self.node, source, known, _moment(), self.rng))
 
     async def ask(self, address: str, request: frames.Frame, kind: str) -> frames.Frame:
         """Ask another daemon one question; raise LinkLost."""
@@ -298,30 +235,17 @@
         whole = self._whole[1]
         if blobs is not None and sum(map(len, blobs)) <= len(whole):
             return frames.Deltas(blobs)
-        if not self._transfers.take(len(whole), asyncio.get_running_loop().time()):
+        if not self._transfers.take(len(whole), _moment().now):
             return None
         return frames.WholeCatalogue(whole)
 
     # Membership
 
-    async def _probe_loop(self) -> None:
-        loop = asyncio.get_running_loop()
-        interval = self.view.timing.probe_interval
-        await asyncio.sleep(self.rng.uniform(0, interval))
-        while True:
-            for outgoing in membership.tick(self.view, loop.time(), self.rng):
-                self.send(outgoing.to, outgoing.message)
-            for _ in range(CHECKS_PER_PROBE):
-                await asyncio.sleep(interval / CHECKS_PER_PROBE)
-                for outgoing in membership.check(self.view, loop.time(), self.rng):
-                    self.send(outgoing.to, outgoing.message)
-
     def answer_view(self, member: Member) -> frames.Frame | None:
         """Take the record of a daemon that joins and return the view, or None over the rate."""
-        now = asyncio.get_running_loop().time()
-        membership.merge(self.view, [member], now)
-        members = list(self.view.members_by_address.values())
-        if not self._transfers.take(100 * len(members), now):
+        moment = _moment()
+        members = node.join(self.node, member, moment)
+        if not self._transfers.take(VIEW_RECORD_BYTES * len(members), moment.now):
             return None
         return frames.View(members)
 
@@ -335,24 +259,20 @@
             return False
         if not isinstance(answer, frames.View):
             return False
-        membership.merge(self.view, answer.members, asyncio.get_running_loop().time())
+        membership.merge(self.view, answer.members, _moment().now)
         return True
 
+    async def _reconcile_once(self, address: str) -> None:
+        await self.reconcile(address)
+
     def leave(self) -> None:
-        """Tell the whole data centre that this daemon is gone, so that nobody relays by it."""
-        self.update_me(status=Status.LEFT, server_state=ServerState.NONE)
-        for member in membership.reachable(self.view):
-            if member.data_centre == self.view.me.data_centre:
-                self.send(member.address, Have())
+        """Tell the data centre that this daemon is gone."""
+        self._carry(node.leave(self.node, _moment(), self.rng))
 
     def update_me(self, **fields: object) -> None:
         """Change one's own record and tell some members at once."""
-        membership.update_me(self.view, asyncio.get_running_loop().time(), **fields)
-        others = [m.address for m in membership.reachable(self.view)]
-        others = sorted(a for a in others if a != self.view.me.address)
-        for address in self.rng.sample(others, min(URGENT_TARGETS, len(others))):
-            self.send(address, Have())
+        self._carry(node.change_me(self.node, _moment(), self.rng, **fields))
 
 
-def _kind(message: codec.DatagramMessage) -> str:
+def _kind(message: node.Message) -> str:
     return type(message).__name__.lower()
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from hornbeamgw.backends.base import Platform, PlatformError
-from hornbeamgw.core import commit, membership, versions
+from hornbeamgw.core import commit, floor, membership, versions
 from hornbeamgw.core.commit import Head
+from hornbeamgw.core.floor import FloorAnswer
 from hornbeamgw.core.membership import Member, Status
 from hornbeamgw.core.rendezvous import READERS_PER_DATA_CENTRE, is_reader, top
 from hornbeamgw.core.versions import Origin, Path
@@ -41,6 +42,12 @@
     return "a first version of the catalogue"
 
 
+def _floor_answer(answer: object) -> FloorAnswer | None:
+    if not isinstance(answer, frames.Floor):
+        return None
+    return FloorAnswer(answer.version, answer.confirmed)
+
+
 class Reader:
     """Own this daemon's reads of the platform."""
 
@@ -229,17 +236,16 @@
         request = frames.FloorRequest(self._control.view.me.address)
         asked = [self._control.ask(m.address, request, "floor") for m in local]
         answers = await asyncio.gather(*asked, return_exceptions=True)
-        floors: list[frames.Floor] = []
-        for member, answer in zip(local, answers, strict=True):
-            if isinstance(answer, frames.Floor):
-                floors.append(answer)
-            elif member.status is Status.ALIVE:
-                self._wait_for(f"peer {member.address} ({answer})")
-                return
-        highest = max((floor.version for floor in floors), default=0)
-        if any(floor.confirmed for floor in floors) or highest == 0:
-            return
-        self._control.set_floor(highest, f"agreed by {len(floors)} peers, platform away")
+        answers_by_peer = {
+            member.address: _floor_answer(answer)
+            for member, answer in zip(local, answers, strict=True)
+        }
+        alive = frozenset(m.address for m in local if m.status is Status.ALIVE)
+        decision = floor.decide(answers_by_peer, alive)
+        if decision.floor is None:
+            self._wait_for(decision.waits_for)
+        else:
+            self._control.set_floor(decision.floor, f"agreed by {len(local)} peers")
 
     def _wait_for(self, what: str) -> None:
         if what != self.waiting_for:
