Add randomised runs of many nodes, process scenarios and mutants

Cause: the invariants were proved only by scenarios written one by one.

Scenarios run daemons as processes through the command line.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 MINUTES ?= 5
 
-.PHONY: setup demo test lint bench soak spec clean
+.PHONY: setup demo test lint bench soak spec mutants clean
 
 setup: $(READY)
 
@@ -18,7 +18,7 @@
 	$(PYTHON) -m hornbeamgw.testing.demo
 
 test: setup
-	$(PYTHON) -m hornbeamgw.testing.suite
+	$(PYTHON) -m behave --format progress --no-source
 
 lint: setup
 	$(PYTHON) -m black --check --quiet .
@@ -27,3 +27,6 @@
 
 clean:
 	rm -rf $(VENV) build .mypy_cache .ruff_cache .hypothesis
+
+mutants: setup
+	$(PYTHON) -m properties.mutants
--- /dev/null
+++ b/hornbeamgw/daemon/loop.py
@@ -0,0 +1,34 @@
+"""Event loop: uvloop, kept from io_uring."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+IO_URING = "anon_inode:[io_uring]"
+
+
+def _uses_io_uring() -> bool:
+    entries = Path("/proc/self/fd").iterdir()
+    return any(entry.is_symlink() and os.readlink(entry) == IO_URING for entry in entries)
+
+
+def run(main: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine on uvloop; raise RuntimeError where its library opens an io_uring.
+
+    libuv 1.48 obeys UV_USE_IO_URING, later ones do not; docs/design/0002-event-loop.md.
+    """
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.get_loop()
+        if _uses_io_uring():
+            main.close()
+            raise RuntimeError("this uvloop opens an io_uring; use uvloop < 0.23")
+        return runner.run(main)
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -17,7 +17,7 @@
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.options import Settings, split_address
 from hornbeamgw.core.snapshot import Snapshot
-from hornbeamgw.daemon import logs
+from hornbeamgw.daemon import logs, loop
 from hornbeamgw.daemon.admin import Admin
 from hornbeamgw.daemon.attempts import Links
 from hornbeamgw.daemon.calls import Calls, View
@@ -197,9 +197,9 @@
     daemon = Daemon(settings, int.from_bytes(os.urandom(8), "big"))
     addresses = await daemon.start()
     logs.set_up(settings.log_level, daemon=addresses["address"], data_centre=settings.data_centre)
-    loop = asyncio.get_running_loop()
+    running = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, daemon.on_signal)
+        running.add_signal_handler(number, daemon.on_signal)
     log.info("daemon started", extra=addresses)
     if print_addresses:
         print(msgspec.json.encode(addresses).decode(), flush=True)
@@ -208,9 +208,5 @@
 
 def run(settings: Settings, print_addresses: bool = False) -> int:
     """Run a daemon to its end and return the exit code."""
-    os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
     logs.set_up(settings.log_level, data_centre=settings.data_centre)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(_serve(settings, print_addresses))
+    return loop.run(_serve(settings, print_addresses))
--- a/hornbeamgw/testing/command.py
+++ b/hornbeamgw/testing/command.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 from collections.abc import Coroutine
 from dataclasses import dataclass
@@ -12,16 +11,12 @@
 import cappa
 import msgspec
 
-from hornbeamgw.daemon import logs
+from hornbeamgw.daemon import logs, loop
 
 
 def _run(main: Coroutine[Any, Any, None]) -> None:
-    os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
     logs.set_up("WARNING")
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(main)
+    loop.run(main)
 
 
 def _say(document: dict[str, Any]) -> None:
@@ -30,9 +25,8 @@
 
 def _stop_event() -> asyncio.Event:
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
     return stop
 
 
--- a/hornbeamgw/testing/fleet.py
+++ b/hornbeamgw/testing/fleet.py
@@ -130,6 +130,11 @@
         await asyncio.gather(*(child.process.wait() for child in children))
         self._folder.cleanup()
 
+    @property
+    def folder(self) -> str:
+        """Return the folder of settings and logs, which goes with the fleet."""
+        return self._folder.name
+
     @property
     def platform_address(self) -> str:
         """Return the address of the platform."""
--- /dev/null
+++ b/properties/mutants.py
@@ -0,0 +1,179 @@
+"""Mutants: take one mechanism away at a time, and see that a check notices.
+
+Each mutant is applied to a copy of the tree. A mutant that no check notices is a failure.
+"""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).parent.parent
+LIMIT_S = 120
+FLEET = "features/randomised.feature"
+CALLS = "features/calls.feature"
+ADMISSION = "features/admission.feature"
+COMMIT = "features/commit.feature"
+RECOVERY = "features/recovery.feature"
+
+
+class Mutant(NamedTuple):
+    """Hold a change that breaks one promise, and the feature that must notice."""
+
+    promise: str
+    file: str
+    old: str
+    new: str
+    feature: str
+
+
+MUTANTS = (
+    Mutant(
+        "a restart does not go below the floor",
+        "hornbeamgw/core/versions.py",
+        "if state.floor is None or known.version < state.floor:",
+        "if False:",
+        FLEET,
+    ),
+    Mutant(
+        "versions only go up",
+        "hornbeamgw/core/versions.py",
+        "if catalogue.version <= state.catalogue.version:",
+        "if catalogue.version == state.catalogue.version:",
+        FLEET,
+    ),
+    Mutant(
+        "a delta follows from its parent",
+        "hornbeamgw/core/edit.py",
+        'if delta["version"] != catalogue.version + 1:',
+        "if False:",
+        FLEET,
+    ),
+    Mutant(
+        "the head moves by condition only",
+        "hornbeamgw/core/commit.py",
+        "Write(HEAD_KEY, msgspec.json.encode(moved), Condition(etag=head_etag))",
+        "Write(HEAD_KEY, msgspec.json.encode(moved), None)",
+        FLEET,
+    ),
+    Mutant(
+        "whoever hears of a higher version pulls",
+        "hornbeamgw/core/node.py",
+        "    for hint in due:\n        effects += want(node, hint.version, hint.sender, moment)\n",
+        "",
+        FLEET,
+    ),
+    Mutant(
+        "a lost answer is resolved by the edit id",
+        "hornbeamgw/daemon/committer.py",
+        "        if earlier is not None:",
+        "        if False:",
+        COMMIT,
+    ),
+    Mutant(
+        "a bad version is applied nowhere",
+        "hornbeamgw/core/snapshot.py",
+        "    if problems:\n        return Err(problems)\n",
+        "    items = {k: v for k, v in items.items() if 'bad' not in k}\n",
+        COMMIT,
+    ),
+    Mutant(
+        "an attempt never admitted is fenced",
+        "hornbeamgw/core/admission.py",
+        "    _remember(state, attempt, Fate.FENCED, now)\n",
+        "",
+        ADMISSION,
+    ),
+    Mutant(
+        "a queued attempt told as not run never runs",
+        "hornbeamgw/core/admission.py",
+        "    withdraw(state, attempt, now)\n    _remember(state, attempt, Fate.FENCED, now)\n",
+        "    _remember(state, attempt, Fate.FENCED, now)\n",
+        ADMISSION,
+    ),
+    Mutant(
+        "a running attempt may have run",
+        "hornbeamgw/core/admission.py",
+        "known.fate in (Fate.RUNNING, Fate.FINISHED)",
+        "known.fate is Fate.FINISHED",
+        ADMISSION,
+    ),
+    Mutant(
+        "a non-idempotent request that may have run is not sent again",
+        "hornbeamgw/core/retrying.py",
+        "if failure.verdict is not Verdict.NOT_RUN and not idempotent:",
+        "if False:",
+        CALLS,
+    ),
+    Mutant(
+        "a broken answer is never passed on as whole",
+        "hornbeamgw/daemon/calls.py",
+        'raise ConnectionLost(f"{type(event).__name__} before the end of the answer")',
+        "connection.close()\n                return",
+        CALLS,
+    ),
+    Mutant(
+        "a draining server takes nothing new",
+        "hornbeamgw/core/admission.py",
+        "    if state.server_state is ServerState.DRAINING:\n",
+        "    if False:\n",
+        ADMISSION,
+    ),
+    Mutant(
+        "a living peer that is silent leaves the floor unsure",
+        "hornbeamgw/core/floor.py",
+        "if answer is None and peer in alive_peers:",
+        "if False:",
+        RECOVERY,
+    ),
+)
+
+
+def _run(tree: Path, feature: str) -> bool:
+    command = [sys.executable, "-m", "behave", "--format", "progress", "--stop", feature]
+    environment = {"PYTHONPATH": str(tree), "PATH": ""}
+    try:
+        done = subprocess.run(
+            command, cwd=tree, capture_output=True, timeout=LIMIT_S, env=environment
+        )
+    except subprocess.TimeoutExpired:
+        return True
+    return done.returncode == 0
+
+
+def _copy(target: Path) -> None:
+    for name in ("hornbeamgw", "features", "properties", "catalogue"):
+        ignored = shutil.ignore_patterns("__pycache__")
+        shutil.copytree(ROOT / name, target / name, ignore=ignored)
+
+
+def is_noticed(mutant: Mutant) -> bool:
+    """Return whether the feature fails on a tree with the mutant."""
+    with tempfile.TemporaryDirectory() as folder:
+        tree = Path(folder)
+        _copy(tree)
+        path = tree / mutant.file
+        text = path.read_text(encoding="utf-8")
+        if text.count(mutant.old) != 1:
+            raise ValueError(f"{mutant.file}: {mutant.old!r} stands {text.count(mutant.old)} times")
+        path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
+        return not _run(tree, mutant.feature)
+
+
+def main() -> None:
+    """Try every mutant; exit code 1 where one goes unnoticed."""
+    unnoticed = 0
+    for mutant in MUTANTS:
+        noticed = is_noticed(mutant)
+        unnoticed += not noticed
+        print(f"{'noticed  ' if noticed else 'UNNOTICED'} {mutant.promise}", flush=True)
+    print(f"{len(MUTANTS) - unnoticed} passed, {unnoticed} failed")
+    sys.exit(1 if unnoticed else 0)
+
+
+if __name__ == "__main__":
+    main()
