--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import shutil
 import subprocess
 import sys
@@ -135,7 +136,7 @@
 
 def _run(tree: Path, feature: str) -> bool:
     command = [sys.executable, "-m", "behave", "--format", "progress", "--stop", feature]
-    environment = {"PYTHONPATH": str(tree), "PATH": ""}
+    environment = {"PYTHONPATH": str(tree), "PATH": os.defpath}
     try:
         done = subprocess.run(
             command, cwd=tree, capture_output=True, timeout=LIMIT_S, env=environment
@@ -151,6 +152,13 @@
         shutil.copytree(ROOT / name, target / name, ignore=ignored)
 
 
+def passes_untouched(feature: str) -> bool:
+    """Return whether a feature passes on a tree without any mutant."""
+    with tempfile.TemporaryDirectory() as folder:
+        _copy(Path(folder))
+        return _run(Path(folder), feature)
+
+
 def is_noticed(mutant: Mutant) -> bool:
     """Return whether the feature fails on a tree with the mutant."""
     with tempfile.TemporaryDirectory() as folder:
@@ -166,6 +174,9 @@
 
 def main() -> None:
     """Try every mutant; exit code 1 where one goes unnoticed."""
+    for feature in sorted({mutant.feature for mutant in MUTANTS}):
+        if not passes_untouched(feature):
+            sys.exit(f"{feature} fails without a mutant, so it can't notice one")
     unnoticed = 0
     for mutant in MUTANTS:
         noticed = is_noticed(mutant)
