--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 mutants: setup
 	$(PYTHON) -m properties.mutants
+
+bench: setup
+	$(PYTHON) -m benchmarks $(BENCH)
--- /dev/null
+++ b/benchmarks/data.py
@@ -0,0 +1,1 @@
+"""Benchmarks of calls."""
--- a/hornbeamgw/core/node.py
+++ b/hornbeamgw/core/node.py
@@ -120,8 +120,9 @@
 class Node:
     """Hold everything that one daemon knows of the fleet and the catalogue."""
 
-    def __init__(self, me: Member, timing: Timing) -> None:
-        """Start with a view of oneself and no version."""
+    def __init__(self, me: Member, timing: Timing, spread: str = "tree") -> None:
+        """Start with a view of oneself and no version; take the way to spread versions."""
+        self.spread = spreading.policies_by_name[spread]
         self.view = MembershipState(me, timing)
         self.versions = VersionState()
         self.pulls = PullState()
@@ -193,7 +194,7 @@
     version = node.versions.catalogue.version
     members = membership.reachable(node.view)
     effects: list[Effect] = []
-    for target in spreading.targets(node.view.me, members, version, scope, low, high):
+    for target in node.spread.targets(node.view.me, members, version, scope, low, high):
         effects += _push_to(node, target, version, frozenset(), moment)
     return effects
 
--- a/hornbeamgw/core/options.py
+++ b/hornbeamgw/core/options.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from hornbeamgw.core.balancing import policies_by_name
+from hornbeamgw.core import balancing, spreading
 from hornbeamgw.core.problems import Duration, Problem, Size, check_mapping, read_yaml
 
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
@@ -64,6 +64,7 @@
     platform: PlatformFile
     membership: NotRequired[MembershipFile]
     calls: NotRequired[CallsFile]
+    spreading: NotRequired[Text]
     statsd: NotRequired[Address]
     log_level: NotRequired[Text]
 
@@ -90,6 +91,7 @@
     calls_header_timeout: float = 5.0
     calls_idle_timeout: float = 60.0
     calls_drain_limit: float = 30.0
+    spreading: str = "tree"
     statsd: str = ""
     log_level: str = "INFO"
 
@@ -158,9 +160,13 @@
 def _check_names(flat: Mapping[str, Any], source: str) -> list[Problem]:
     problems = []
     policy = flat.get("calls_balancing", "two_choice")
-    if policy not in policies_by_name:
-        expected = f"one of {sorted(policies_by_name)}"
+    if policy not in balancing.policies_by_name:
+        expected = f"one of {sorted(balancing.policies_by_name)}"
         problems.append(Problem(source, "calls.balancing", policy, expected))
+    spread = flat.get("spreading", "tree")
+    if spread not in spreading.policies_by_name:
+        expected = f"one of {sorted(spreading.policies_by_name)}"
+        problems.append(Problem(source, "spreading", spread, expected))
     level = flat.get("log_level", "INFO")
     if level not in LOG_LEVELS:
         problems.append(Problem(source, "log_level", level, f"one of {list(LOG_LEVELS)}"))
--- a/hornbeamgw/core/spreading.py
+++ b/hornbeamgw/core/spreading.py
@@ -11,7 +11,7 @@
 
 import enum
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
 from hornbeamgw.core.membership import Member, Status
@@ -101,7 +101,33 @@
     return [_relay(groups[name], version, scope) for name in sorted(groups)]
 
 
-def targets(
+TargetsFunction = Callable[[Member, Sequence[Member], int, Scope, str, str], list[Target]]
+
+
+class Policy(NamedTuple):
+    """Hold a way to spread versions: whom to push to, and whether everybody reads."""
+
+    targets: TargetsFunction
+    everyone_reads: bool = False
+
+
+policies_by_name: dict[str, Policy] = {}
+
+
+def register(
+    name: str, everyone_reads: bool = False
+) -> Callable[[TargetsFunction], TargetsFunction]:
+    """Register a way to spread versions under the name that settings use."""
+
+    def add(function: TargetsFunction) -> TargetsFunction:
+        policies_by_name[name] = Policy(function, everyone_reads)
+        return function
+
+    return add
+
+
+@register("tree")
+def tree(
     me: Member, members: Sequence[Member], version: int, scope: Scope, low: str, high: str
 ) -> list[Target]:
     """Return whom to push a version to, for the scope that this daemon answers for."""
@@ -113,6 +139,23 @@
     return found + _within(me, members, low, high)
 
 
+@register("flood")
+def flood(
+    me: Member, members: Sequence[Member], version: int, scope: Scope, low: str, high: str
+) -> list[Target]:
+    """Push to every member, as every receiver does again (a baseline)."""
+    others = [m.address for m in members if m.address != me.address]
+    return [Target(address, Scope.DATA_CENTRE, LOWEST, LOWEST) for address in others]
+
+
+@register("poll", everyone_reads=True)
+def poll(
+    me: Member, members: Sequence[Member], version: int, scope: Scope, low: str, high: str
+) -> list[Target]:
+    """Push to nobody; every daemon polls the platform (a baseline)."""
+    return []
+
+
 def retarget(
     me: Member, members: Sequence[Member], failed: Member, push: Push, avoided: Collection[str]
 ) -> list[Target]:
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -52,7 +52,7 @@
             settings.membership_ack_timeout,
             settings.membership_suspicion,
         )
-        self.node = Node(me, timing)
+        self.node = Node(me, timing, settings.spreading)
         self.meter = Meter()
         self.rng = rng
         self.on_applied: list[Callable[[Snapshot], None]] = []
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -130,7 +130,8 @@
         while True:
             await asyncio.sleep(self._poll * self._rng.uniform(0.8, 1.2))
             members = membership.reachable(self._control.view)
-            if not is_reader(self._control.view.me, members):
+            everyone = self._control.node.spread.everyone_reads
+            if not everyone and not is_reader(self._control.view.me, members):
                 continue
             try:
                 head = await self.fresh_head()
