Let a lone node of the randomised fleet join again, and add soak

Ruled out: a fault of the node; the daemon joins by a random seed again until one answers, which the machine left out.

Change: a node alone in its view joins by a random node as time passes. make soak MINUTES=n runs with fresh seeds and prints the seed of a failure.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 bench: setup
 	$(PYTHON) -m benchmarks $(BENCH)
+
+soak: setup
+	$(PYTHON) -m properties.soak $(MINUTES)
--- a/properties/fleet_machine.py
+++ b/properties/fleet_machine.py
@@ -230,6 +230,8 @@
         for address in self._alive():
             held = self.nodes[address]
             assert held is not None
+            if len(held.view.members_by_address) == 1:
+                self._join(held, self.rng.randrange(NODES))
             self._carry(held, node.check(held, self._moment(), self.rng))
             self._carry(held, node.tick(held, self._moment(), self.rng))
         STEPS_BY_KIND["time_passes"] += 1
@@ -315,14 +317,18 @@
         """Start a node with nothing and let it join by another."""
         if self._down():
             self._restart(self.rng.choice(self._down()), self.rng.randrange(NODES))
+            STEPS_BY_KIND["restart"] += 1
 
     def _restart(self, address: str, seed_index: int) -> None:
-        booted = self._boot(address)
+        self._join(self._boot(address), seed_index)
+
+    def _join(self, held: Node, seed_index: int) -> None:
+        """Join by a seed, as a daemon does again and again until one answers."""
         seed = self._node(seed_index)
-        if seed is not None and self._connected(address, f"n{seed_index}"):
-            view = node.join(seed, booted.view.me, self._moment())
-            membership.merge(booted.view, view, self.now)
-        STEPS_BY_KIND["restart"] += 1
+        address = held.view.me.address
+        if seed is not None and seed is not held and self._connected(address, f"n{seed_index}"):
+            view = node.join(seed, held.view.me, self._moment())
+            membership.merge(held.view, view, self.now)
 
     def _unsure(self) -> list[Node]:
         found = [self.nodes[address] for address in self._alive()]
