--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 
 soak: setup
 	$(PYTHON) -m properties.soak $(MINUTES)
+
+spec: setup
+	command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
+	$(PYTHON) spec/check.py
--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -88,10 +88,11 @@
 
 
 INDIRECT_PROBES = 3
-GOSSIP_PER_MESSAGE = 6
+GOSSIP_PER_MESSAGE = 10
 GOSSIP_FACTOR = 3
 RETRY_DEAD_ONE_IN = 10
-MISMATCHES_TO_RECONCILE = 3
+MISMATCHES_TO_RECONCILE = 6
+MISMATCH_WEIGHT_WHEN_QUIET = 2
 RECONCILE_SPACING_S = 2.0
 
 
@@ -195,11 +196,11 @@
 
 
 def should_reconcile(state: MembershipState, view_hash: int, now: float) -> bool:
-    """Return whether views still differ although there is nothing left to gossip."""
+    """Return whether views differ for longer than gossip should take; sooner with none left."""
     if view_hash == state.view_hash:
         state.mismatches = 0
         return False
-    state.mismatches += not state.gossip_left_by_address
+    state.mismatches += 1 if state.gossip_left_by_address else MISMATCH_WEIGHT_WHEN_QUIET
     waited = now - state.reconciled_at >= RECONCILE_SPACING_S
     if state.mismatches < MISMATCHES_TO_RECONCILE or not waited:
         return False
@@ -208,11 +209,9 @@
     return True
 
 
-def gossip_for(state: MembershipState, recipient: str) -> list[Member]:
+def gossip_for(state: MembershipState, recipient: str, with_me: bool = False) -> list[Member]:
     """Return the records to send along, the recipient's own first where it is doubted."""
-    chosen: list[Member] = []
-    if state.me.status is Status.LEFT:
-        chosen.append(state.me)
+    chosen: list[Member] = [state.me] if with_me else []
     doubted = state.members_by_address.get(recipient)
     if doubted is not None and doubted.status in (Status.SUSPECT, Status.DEAD):
         chosen.append(doubted)
--- a/hornbeamgw/core/node.py
+++ b/hornbeamgw/core/node.py
@@ -130,10 +130,11 @@
         self.hints: list[_Hint] = []
 
 
-def envelope(node: Node, to: str, message: Message) -> Envelope:
+def envelope(node: Node, to: str, message: Message, with_me: bool = False) -> Envelope:
     """Return a message with one's version, the hash of one's view, and some gossip."""
     known = node.versions.catalogue
-    gossip = [] if isinstance(message, Push) else membership.gossip_for(node.view, to)
+    with_me = with_me or node.view.me.status is Status.LEFT
+    gossip = [] if isinstance(message, Push) else membership.gossip_for(node.view, to, with_me)
     return Envelope(
         node.view.me.address,
         known.version,
@@ -329,9 +330,15 @@
     return [_send(node, address, Have()) for address in chosen]
 
 
+def announce(node: Node) -> list[Effect]:
+    """Tell the whole data centre of oneself, having joined; the rest hears by gossip."""
+    me = node.view.me
+    local = [m for m in membership.reachable(node.view) if m.data_centre == me.data_centre]
+    others = [m.address for m in local if m.address != me.address]
+    return [Send(address, envelope(node, address, Have(), with_me=True)) for address in others]
+
+
 def leave(node: Node, moment: Moment, rng: random.Random) -> list[Effect]:
     """Tell the whole data centre that this daemon is gone, so that nobody relays by it."""
-    me = node.view.me
     effects = change_me(node, moment, rng, status=Status.LEFT, server_state=ServerState.NONE)
-    local = [m for m in membership.reachable(node.view) if m.data_centre == me.data_centre]
-    return effects + [_send(node, m.address, Have()) for m in local]
+    return effects + announce(node)
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -265,6 +265,10 @@
     async def _reconcile_once(self, address: str) -> None:
         await self.reconcile(address)
 
+    def announce(self) -> None:
+        """Tell the data centre that this daemon has joined."""
+        self._carry(node.announce(self.node))
+
     def leave(self) -> None:
         """Tell the data centre that this daemon is gone."""
         self._carry(node.leave(self.node, _moment(), self.rng))
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -182,6 +182,8 @@
         while seeds:
             joined = await self._control.reconcile(self._rng.choice(seeds))
             failures = 0 if joined else failures + 1
+            if joined:
+                self._control.announce()
             if joined or failures >= JOIN_TRIES:
                 self._join_tried.set()
             ceiling = min(FLOOR_BACKOFF_MAX_S, FLOOR_BACKOFF_S * 2**failures)
--- a/properties/fleet_machine.py
+++ b/properties/fleet_machine.py
@@ -25,6 +25,7 @@
 from hornbeamgw.core.edit import Change, Edit
 from hornbeamgw.core.membership import Member, Timing
 from hornbeamgw.core.node import Moment, Node
+from hornbeamgw.core.rendezvous import is_reader
 from hornbeamgw.core.table import Write
 from hornbeamgw.core.versions import Origin, Path
 from hornbeamgw.testing.memory import MemoryPlatform
@@ -35,6 +36,7 @@
 MAX_ON_THE_WAY = 200
 MAX_PENDING_WRITES = 4
 MAX_DOWN = 3
+REJOIN_SHARE = 0.02
 STEPS_BY_KIND: Counter[str] = Counter()
 
 seeds = st.integers(0, 2**32 - 1)
@@ -91,6 +93,7 @@
 
     def __init__(self) -> None:
         """Start without nodes."""
+        self.known: dict[tuple[str, int], int] = {}
         super().__init__()
         self.now = 1000.0
         self.rng = random.Random(0)
@@ -230,8 +233,10 @@
         for address in self._alive():
             held = self.nodes[address]
             assert held is not None
-            if len(held.view.members_by_address) == 1:
+            if len(held.view.members_by_address) == 1 or self.rng.random() < REJOIN_SHARE:
                 self._join(held, self.rng.randrange(NODES))
+            if is_reader(held.view.me, membership.reachable(held.view)):
+                self._poll(held)
             self._carry(held, node.check(held, self._moment(), self.rng))
             self._carry(held, node.tick(held, self._moment(), self.rng))
         STEPS_BY_KIND["time_passes"] += 1
@@ -297,7 +302,11 @@
     def poll(self) -> None:
         """Let a reader poll the head, catch up and push."""
         held = self._pick()
-        if held is not None and not self.platform.down and self._catch_up(held):
+        if held is not None:
+            self._poll(held)
+
+    def _poll(self, held: Node) -> None:
+        if not self.platform.down and self._catch_up(held):
             self._carry(held, node.push(held, self._moment()))
             STEPS_BY_KIND["poll"] += 1
 
@@ -398,10 +407,20 @@
     @invariant()
     def check_all(self) -> None:
         """Check everything that must hold after each step."""
+        self.knowledge_grows()
         self.nothing_reverts()
         self.only_what_was_committed()
         assert not invariants.violations, invariants.violations
 
+    def knowledge_grows(self) -> None:
+        """No process ever knows an older catalogue than before."""
+        for address, held in self.nodes.items():
+            if held is not None:
+                process = (address, held.view.me.incarnation)
+                version = held.versions.catalogue.version
+                assert version >= self.known.get(process, 0), f"{process} forgot {version}"
+                self.known[process] = version
+
     def nothing_reverts(self) -> None:
         """No address ever has an older version in force than before."""
         for address, held in self.nodes.items():
