--- a/features/calls.feature
+++ b/features/calls.feature
@@ -51,6 +51,15 @@
     When a caller of A asks for a roster of 4000000 bytes
     Then the caller sees a broken connection and not a short answer
 
+  Scenario: An answer in chunks breaks off in the middle
+    Given the link from A to B breaks in the middle of the next answer
+    When a caller of A asks for a roster of 4000000 bytes in chunks
+    Then the caller sees a broken connection and not a short answer
+
+  Scenario: An answer in chunks is whole
+    When a caller of A asks for a roster of 300000 bytes in chunks
+    Then the answer is whole and ran once
+
   Scenario: The caller leaves
     When a caller of A leaves while its request runs
     Then the backend server saw the request cancelled
--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -77,6 +77,12 @@
     call(context, "GET", f"/rosters?size={size}")
 
 
+@when("a caller of A asks for a roster of {size:d} bytes in chunks")
+def roster_chunked(context, size):
+    context.size = size
+    call(context, "GET", f"/rosters?size={size}&chunked=1")
+
+
 @when("a caller of A sends a booking of {size:d} bytes")
 def booking(context, size):
     context.size = None
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -124,6 +124,9 @@
         if failure is not None:
             self._count(failure, found, call_id)
             self._fail(connection, failure, call_id)
+        elif log.isEnabledFor(logging.DEBUG):
+            detail = {"call_id": call_id, "route": found.route.name, "tried": found.tried}
+            log.debug("call answered", extra={**detail, "elapsed_ms": round(elapsed * 1000, 3)})
 
     def _open(self, view: View, request: h11.Request, call_id: str, now: float) -> _Call | Failure:
         if not view.ready:
--- a/hornbeamgw/testing/backend.py
+++ b/hornbeamgw/testing/backend.py
@@ -134,7 +134,7 @@
             raise ConnectionLost
         size = int(query.get("size", "0"))
         if size:
-            await _send_large(connection, size, request_id)
+            await _send_large(connection, size, request_id, "chunked" in query)
             return
         document = {"request_id": request_id, "received": len(body)}
         json_response(connection, 200, document)
@@ -158,9 +158,14 @@
         }
 
 
-async def _send_large(connection: HttpConnection, size: int, request_id: str) -> None:
-    headers = [(b"content-length", str(size).encode()), (REQUEST_ID, request_id.encode())]
-    if size <= PART:
+async def _send_large(
+    connection: HttpConnection, size: int, request_id: str, chunked: bool
+) -> None:
+    framing = (b"content-length", str(size).encode())
+    if chunked:
+        framing = (b"transfer-encoding", b"chunked")
+    headers = [framing, (REQUEST_ID, request_id.encode())]
+    if size <= PART and not chunked:
         send_response(connection, 200, [(REQUEST_ID, request_id.encode())], b"x" * size)
         return
     connection.send(h11.Response(status_code=200, headers=headers))
--- a/hornbeamgw/testing/fleet.py
+++ b/hornbeamgw/testing/fleet.py
@@ -111,6 +111,7 @@
         self._overrides = overrides or {}
         self._folder = tempfile.TemporaryDirectory(prefix="hornbeamgw-")
         self._started = 0
+        self._others: list[Child] = []
 
     async def __aenter__(self) -> Fleet:
         """Start the platform."""
@@ -123,6 +124,7 @@
         """Stop everything."""
         children = [node.daemon for node in self.nodes]
         children += [node.backend for node in self.nodes if node.backend is not None]
+        children += self._others
         children += [self.platform] if self.platform is not None else []
         for child in children:
             child.signal(signal.SIGCONT)
@@ -203,6 +205,12 @@
         child.said = await self._first_line(child, "listening")
         return child
 
+    async def start_other(self, name: str, module: Sequence[str]) -> str:
+        """Start another process that says where it listens, and return the address."""
+        child = await self._spawn(name, module)
+        self._others.append(child)
+        return str((await self._first_line(child, "listening"))["listening"])
+
     async def start_node(self, place: Place) -> Node:
         """Start a daemon and the backend server beside it."""
         daemon = await self.start_daemon(place)
--- a/hornbeamgw/testing/platform.py
+++ b/hornbeamgw/testing/platform.py
@@ -111,6 +111,11 @@
         """Listen and return the address in use."""
         return await self._server.start(address)
 
+    def close(self) -> None:
+        """Stop at once."""
+        self._server.stop_accepting()
+        self._server.abort()
+
     async def _handle(self, connection: HttpConnection, request: h11.Request) -> None:
         body = await read_body(connection, BODY_LIMIT)
         method, target = request.method.decode(), request.target.decode()
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -27,8 +27,7 @@
 
     promise: str
     file: str
-    old: str
-    new: str
+    edits: tuple[tuple[str, str], ...]
     feature: str
 
 
@@ -36,99 +35,120 @@
     Mutant(
         "a restart does not go below the floor",
         "hornbeamgw/core/versions.py",
-        "if state.floor is None or known.version < state.floor:",
-        "if False:",
+        (("if state.floor is None or known.version < state.floor:", "if False:"),),
         FLEET,
     ),
     Mutant(
         "versions only go up",
         "hornbeamgw/core/versions.py",
-        "if catalogue.version <= state.catalogue.version:",
-        "if catalogue.version == state.catalogue.version:",
+        (
+            (
+                "if catalogue.version <= state.catalogue.version:",
+                "if catalogue.version == state.catalogue.version:",
+            ),
+        ),
         FLEET,
     ),
     Mutant(
         "a delta follows from its parent",
         "hornbeamgw/core/edit.py",
-        'if delta["version"] != catalogue.version + 1:',
-        "if False:",
+        (
+            ('if delta["version"] != catalogue.version + 1:', "if False:"),
+            ('if delta["parent_digest"] != catalogue.digest:', "if False:"),
+            ('if digest_of(items) != delta["digest"]:', "if False:"),
+        ),
         FLEET,
     ),
     Mutant(
         "the head moves by condition only",
         "hornbeamgw/core/commit.py",
-        "Write(HEAD_KEY, msgspec.json.encode(moved), Condition(etag=head_etag))",
-        "Write(HEAD_KEY, msgspec.json.encode(moved), None)",
+        (
+            (
+                "Write(HEAD_KEY, msgspec.json.encode(moved), Condition(etag=head_etag))",
+                "Write(HEAD_KEY, msgspec.json.encode(moved), None)",
+            ),
+            ("absent = Condition(etag=None)", "absent = None"),
+        ),
         FLEET,
     ),
     Mutant(
         "whoever hears of a higher version pulls",
         "hornbeamgw/core/node.py",
-        "    for hint in due:\n        effects += want(node, hint.version, hint.sender, moment)\n",
-        "",
+        (
+            (
+                "effects += want(node, hint.version, hint.sender, moment)",
+                "pass",
+            ),
+        ),
         FLEET,
     ),
     Mutant(
         "a lost answer is resolved by the edit id",
         "hornbeamgw/daemon/committer.py",
-        "        if earlier is not None:",
-        "        if False:",
+        (("        if earlier is not None:", "        if False:"),),
         COMMIT,
     ),
     Mutant(
         "a bad version is applied nowhere",
         "hornbeamgw/core/snapshot.py",
-        "    if problems:\n        return Err(problems)\n",
-        "    items = {k: v for k, v in items.items() if 'bad' not in k}\n",
+        (
+            (
+                "    if problems:\n        return Err(problems)\n",
+                "    items = {k: v for k, v in items.items() if 'bad' not in k}\n",
+            ),
+        ),
         COMMIT,
     ),
     Mutant(
         "an attempt never admitted is fenced",
         "hornbeamgw/core/admission.py",
-        "    _remember(state, attempt, Fate.FENCED, now)\n",
-        "",
+        (("    _remember(state, attempt, Fate.FENCED, now)\n", ""),),
         ADMISSION,
     ),
     Mutant(
         "a queued attempt told as not run never runs",
         "hornbeamgw/core/admission.py",
-        "    withdraw(state, attempt, now)\n    _remember(state, attempt, Fate.FENCED, now)\n",
-        "    _remember(state, attempt, Fate.FENCED, now)\n",
+        (
+            (
+                "    withdraw(state, attempt, now)\n    _remember(",
+                "    _remember(",
+            ),
+        ),
         ADMISSION,
     ),
     Mutant(
         "a running attempt may have run",
         "hornbeamgw/core/admission.py",
-        "known.fate in (Fate.RUNNING, Fate.FINISHED)",
-        "known.fate is Fate.FINISHED",
+        (("known.fate in (Fate.RUNNING, Fate.FINISHED)", "known.fate is Fate.FINISHED"),),
         ADMISSION,
     ),
     Mutant(
         "a non-idempotent request that may have run is not sent again",
         "hornbeamgw/core/retrying.py",
-        "if failure.verdict is not Verdict.NOT_RUN and not idempotent:",
-        "if False:",
+        (("if failure.verdict is not Verdict.NOT_RUN and not idempotent:", "if False:"),),
         CALLS,
     ),
     Mutant(
         "a broken answer is never passed on as whole",
         "hornbeamgw/daemon/calls.py",
-        'raise ConnectionLost(f"{type(event).__name__} before the end of the answer")',
-        "connection.close()\n                return",
+        (
+            (
+                'raise ConnectionLost(f"{type(event).__name__} before the end of the answer")',
+                "connection.send(h11.EndOfMessage())\n                return",
+            ),
+        ),
         CALLS,
     ),
     Mutant(
         "a draining server takes nothing new",
         "hornbeamgw/core/admission.py",
-        "    if state.server_state is ServerState.DRAINING:\n",
-        "    if False:\n",
+        (("    if state.server_state is ServerState.DRAINING:\n", "    if False:\n"),),
         ADMISSION,
     ),
     Mutant(
         "a living peer that is silent leaves the floor unsure",
         "hornbeamgw/core/floor.py",
-        "if answer is None and peer in alive_peers:",
-        "if False:",
+        (("if answer is None and peer in alive_peers:", "if False:"),),
         RECOVERY,
     ),
 )
@@ -166,9 +186,11 @@
         _copy(tree)
         path = tree / mutant.file
         text = path.read_text(encoding="utf-8")
-        if text.count(mutant.old) != 1:
-            raise ValueError(f"{mutant.file}: {mutant.old!r} stands {text.count(mutant.old)} times")
-        path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
+        for old, new in mutant.edits:
+            if text.count(old) != 1:
+                raise ValueError(f"{mutant.file}: {old!r} stands {text.count(old)} times")
+            text = text.replace(old, new)
+        path.write_text(text, encoding="utf-8")
         return not _run(tree, mutant.feature)
 
 
