Draw timelines and histograms as pictures

Cause: the text chart of a timeline does not travel into a report.

Measured: the process scenario writes both pictures (PNG) and checks them.

--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -190,7 +190,9 @@
         await client.request("GET", "/rosters", [(b"host", b"test.example")])
 
     context.runner.run(call())
-    (row,) = json_of(context, "histograms")
+    picture = context.old.with_name("histograms.png")
+    (row,) = json_of(context, "histograms", "--plot", str(picture))
+    assert picture.read_bytes().startswith(b"\x89PNG")
     found = (row["owner"], row["class"], row["verdict"], row["count"])
     assert found == ("o", "c", "answered", 1), row
 
@@ -199,6 +201,9 @@
 def timeline(context):
     rows = json_of(context, "timeline", "2")
     assert sorted(row["arrival"]["path"] for row in rows) == ["commit", "push"], rows
+    picture = context.old.with_name("timeline.png")
+    command(context, "timeline", "2", "--plot", str(picture))
+    assert picture.read_bytes().startswith(b"\x89PNG")
     assert all(row["in_force_at"] >= row["accepted_at"] for row in rows)
 
 
--- a/hornbeamgw/commands/fleet.py
+++ b/hornbeamgw/commands/fleet.py
@@ -15,10 +15,13 @@
 from hornbeamgw.commands.daemon import OutputArg
 from hornbeamgw.commands.exits import ExitCode
 from hornbeamgw.commands.output import fail, print_json, print_rows, print_table
+from hornbeamgw.commands.plots import plot_histograms, plot_timeline
 from hornbeamgw.daemon.http1 import ConnectionLost
 
 BAR_WIDTH = 40
 
+PlotArg = Annotated[str, cappa.Arg(long="--plot", help="draw a picture (PNG or SVG) into a file")]
+
 
 def _ask_fleet(address: str, path: str, query: dict[str, str] | None = None) -> dict[str, Any]:
     async def gather() -> dict[str, Any]:
@@ -112,10 +115,13 @@
 
     daemon: DaemonArg
     output: OutputArg = "table"
+    plot: PlotArg = ""
 
     def __call__(self) -> None:
-        """Show them."""
+        """Show them, or draw them."""
         rows = ask_or_fail(self.daemon, "GET", "/histograms")
+        if self.plot:
+            plot_histograms(rows, self.plot)
         columns = ("owner", "class", "verdict", "count", "p50_ms", "p90_ms", "p99_ms", "max_ms")
         print_rows(rows, columns, self.output)
 
@@ -123,23 +129,27 @@
 @cappa.command(name="timeline", help="Show when and how each daemon got a version.")
 @dataclass
 class Timeline:
-    """Show the spreading of one version."""
+    """Show the spreading of one version, as a text chart or as a picture."""
 
     version: Annotated[int, cappa.Arg(help="version of the catalogue")]
     daemon: DaemonArg
     output: OutputArg = "table"
+    plot: PlotArg = ""
 
     def __call__(self) -> None:
         """Show it."""
         answers = _ask_fleet(self.daemon, "/timeline", {"version": str(self.version)})
         rows = [row for row in answers.values() if row]
+        lines = _timeline(rows)
+        if self.plot:
+            plot_timeline(lines, self.version, self.plot)
         if self.output == "json":
             print_json(rows)
         else:
-            _print_timeline(rows)
+            print_table(lines, ("address", "data_centre", "by", "from", "bytes", "ms", "chart"))
 
 
-def _print_timeline(rows: list[dict[str, Any]]) -> None:
+def _timeline(rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
     known = [row["accepted_at"] for row in rows if row["accepted_at"]]
     if not known:
         fail("no daemon remembers this version", ExitCode.FAILED)
@@ -161,4 +171,4 @@
                 "chart": "" if at is None else "#" * round((at - start) / scale * BAR_WIDTH),
             }
         )
-    print_table(lines, ("address", "data_centre", "by", "from", "bytes", "ms", "chart"))
+    return lines
