Bound the time for a request's body; tidy the stand-in platform

Cause: a caller that sent half a body held its connection for ever, since the deadline's timer began only after the body was read.

Change: the body must arrive within the call's deadline, else status 408; a scenario that hung before. The stand-in passes one typed request in place of five arguments, which stood twice.

--- a/features/hostile.feature
+++ b/features/hostile.feature
@@ -23,6 +23,11 @@
     Then it is told status 408 and the connection is closed
     And the daemon still answers
 
+  Scenario: A request whose body stalls is refused
+    When a caller sends half a body and then nothing
+    Then it is told status 408 and the connection is closed
+    And the daemon still answers
+
   Scenario Outline: A bad frame drops the link and is counted
     When somebody opens a link and sends "<frames>"
     Then the link is dropped and "<fault>" is counted
--- a/features/steps/hostile.py
+++ b/features/steps/hostile.py
@@ -60,6 +60,15 @@
     context.received = exchange(context, context.fleet.callers(context.daemon), half)
 
 
+@when("a caller sends half a body and then nothing")
+def send_half_body(context):
+    head = (
+        b"POST /bookings HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\n"
+        b"Hornbeamgw-Deadline-Ms: 200\r\nContent-Length: 10\r\n\r\nhalf"
+    )
+    context.received = exchange(context, context.fleet.callers(context.daemon), head)
+
+
 @then("it is told status {status:d} and the connection is closed")
 def told(context, status):
     assert context.received.startswith(f"HTTP/1.1 {status} ".encode()), context.received[:200]
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -22,7 +22,7 @@
 from hornbeamgw.daemon.attempts import Attempt, CallerGone, Expired, LinkGone, Links
 from hornbeamgw.daemon.histograms import Histograms
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end, header
-from hornbeamgw.daemon.http_server import send_response
+from hornbeamgw.daemon.http_server import BadRequest, send_response
 from hornbeamgw.daemon.link import LinkLost
 
 log = logging.getLogger(__name__)
@@ -108,7 +108,11 @@
             self._count(found, None, call_id)
             self._fail(connection, found, call_id)
             return
-        await self._read_body(connection, found)
+        try:
+            async with asyncio.timeout_at(found.deadline):
+                await self._read_body(connection, found)
+        except TimeoutError:
+            raise BadRequest(408, "the request's body did not arrive in time") from None
         timer = loop.call_at(found.deadline, self._expire, found)
         connection.on_lost = lambda: self._leave(found)
         try:
--- a/hornbeamgw/testing/platform.py
+++ b/hornbeamgw/testing/platform.py
@@ -99,6 +99,14 @@
     return False
 
 
+class _Asked(NamedTuple):
+    connection: HttpConnection
+    request: h11.Request
+    method: str
+    target: str
+    body: bytes
+
+
 class StandInPlatform:
     """Serve the state over HTTP."""
 
@@ -122,6 +130,7 @@
         if target.startswith("/control"):
             self._control(connection, method, body)
             return
+        asked = _Asked(connection, request, method, target, body)
         now = time.monotonic()
         fault = _take_fault(self.state, method != "GET", now)
         if fault.kind == "outage":
@@ -136,9 +145,9 @@
             await asyncio.sleep(fault.delay)
         self._count(method, now)
         if fault.kind == "lose_answer":
-            self._apply_and_lose(connection, method, target, body)
+            self._apply_and_lose(asked)
             return
-        self._serve(connection, request, method, target, body)
+        self._serve(asked)
 
     def _count(self, method: str, now: float) -> None:
         self.state.counts["reads" if method == "GET" else "writes"] += 1
@@ -147,31 +156,23 @@
             by_second = self.state.reads_by_second
             by_second[second] = by_second.get(second, 0) + 1
 
-    def _apply_and_lose(
-        self, connection: HttpConnection, method: str, target: str, body: bytes
-    ) -> None:
-        if method == "POST":
-            transact(self.state, msgspec.json.decode(body))
-        elif method == "PUT":
-            self.state.objects_by_name[target.removeprefix("/objects/")] = body
+    def _apply_and_lose(self, asked: _Asked) -> None:
+        if asked.method == "POST":
+            transact(self.state, msgspec.json.decode(asked.body))
+        elif asked.method == "PUT":
+            self.state.objects_by_name[asked.target.removeprefix("/objects/")] = asked.body
         self.state.counts["lost_answers"] += 1
-        connection.abort()
-
-    def _serve(
-        self,
-        connection: HttpConnection,
-        request: h11.Request,
-        method: str,
-        target: str,
-        body: bytes,
-    ) -> None:
-        if target.startswith("/objects/"):
-            self._serve_object(connection, request, method, target, body)
-        elif method == "POST" and target == "/table":
-            done = transact(self.state, msgspec.json.decode(body))
+        asked.connection.abort()
+
+    def _serve(self, asked: _Asked) -> None:
+        connection = asked.connection
+        if asked.target.startswith("/objects/"):
+            self._serve_object(asked)
+        elif asked.method == "POST" and asked.target == "/table":
+            done = transact(self.state, msgspec.json.decode(asked.body))
             json_response(connection, 200 if done else 412, {"done": done})
-        elif method == "GET" and target.startswith("/table/"):
-            row = self.state.rows_by_key.get(target.removeprefix("/table/"))
+        elif asked.method == "GET" and asked.target.startswith("/table/"):
+            row = self.state.rows_by_key.get(asked.target.removeprefix("/table/"))
             if row is None:
                 json_response(connection, 404, {"error": "no such row"})
             else:
@@ -179,24 +180,18 @@
         else:
             json_response(connection, 404, {"error": "no such resource"})
 
-    def _serve_object(
-        self,
-        connection: HttpConnection,
-        request: h11.Request,
-        method: str,
-        target: str,
-        body: bytes,
-    ) -> None:
-        name = target.removeprefix("/objects/")
+    def _serve_object(self, asked: _Asked) -> None:
+        name = asked.target.removeprefix("/objects/")
         objects = self.state.objects_by_name
-        if method == "PUT":
-            exists = name in objects and header(request.headers, b"if-none-match") == b"*"
-            objects.setdefault(name, body)
-            json_response(connection, 412 if exists else 201, {"stored": not exists})
-        elif method == "GET" and name in objects:
-            send_response(connection, 200, [], objects[name])
+        if asked.method == "PUT":
+            absent = header(asked.request.headers, b"if-none-match") == b"*"
+            exists = name in objects and absent
+            objects.setdefault(name, asked.body)
+            json_response(asked.connection, 412 if exists else 201, {"stored": not exists})
+        elif asked.method == "GET" and name in objects:
+            send_response(asked.connection, 200, [], objects[name])
         else:
-            json_response(connection, 404, {"error": "no such object"})
+            json_response(asked.connection, 404, {"error": "no such object"})
 
     def _control(self, connection: HttpConnection, method: str, body: bytes) -> None:
         if method == "GET":
