Free the slot of an attempt that is cancelled before it starts

Cause: a task cancelled before its first step runs none of its code, so a call and its cancellation that arrived in one read left the slot taken for good.

Change: the slot is freed by the task's done callback.

--- a/features/calls.feature
+++ b/features/calls.feature
@@ -64,6 +64,10 @@
     When a caller of A leaves while its request runs
     Then the backend server saw the request cancelled
 
+  Scenario: A call and its cancellation arrive together
+    When another daemon sends B a call and its cancellation in one go
+    Then B ends the attempt and its slot is free again
+
   Scenario: The daemon beside the backend server is gone
     Given B has crashed
     When a caller of A sends a booking of 10 bytes
--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -8,8 +8,9 @@
 import msgspec
 from behave import given, then, when
 
-from hornbeamgw.daemon import frames, heads
+from hornbeamgw.daemon import codec, frames, heads
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, dial, header
+from hornbeamgw.daemon.link import dial as dial_link
 from hornbeamgw.testing.local import LocalFleet, edit_from_bodies, wait_for
 
 BIG_DEADLINE_MS = 20_000
@@ -256,6 +257,34 @@
     context.runner.run(ask_and_leave())
 
 
+@when("another daemon sends B a call and its cancellation in one go")
+def call_and_cancel(context):
+    head = heads.encode_request(heads.RequestHead(b"GET", b"/rosters", [(b"host", b"h")]))
+    sent = frames.Call(7, "c", "roster", "all", True, 5000, 0, head, b"", True)
+
+    async def send():
+        got = context.got = []
+        hello = frames.Hello(context.fleet.name, "stranger", 1)
+        address = context.b.control.view.me.address
+        link = await dial_link(
+            address, hello, lambda _, frame: got.append(frame), lambda _: None, print, 5.0
+        )
+        payload = codec.encode_frame(sent) + codec.encode_frame(frames.Cancel(7))
+        link.transport.write(payload)
+        await wait_for(lambda: got)
+        link.close()
+
+    context.runner.run(send())
+
+
+@then("B ends the attempt and its slot is free again")
+def slot_free(context):
+    assert isinstance(context.got[0], frames.Refusal), context.got
+    state = context.b.gate.state
+    assert not state.running_by_attempt and not any(state.running_count_by_entry.values())
+    assert context.b.gate.idle.is_set()
+
+
 @given("B has crashed")
 def crashed(context):
     context.runner.run(context.fleet.crash(context.b))
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -48,7 +48,7 @@
         self.call = call
         self.bodies: Mailbox[frames.Body] = Mailbox()
         self.window = Window(WINDOW)
-        self.task: asyncio.Task[None] | None = None
+        self.task: asyncio.Task[Failure | None] | None = None
         self.replied = False
 
 
@@ -208,7 +208,7 @@
             if attempt is None:
                 continue
             if isinstance(decision, Admitted):
-                attempt.task = asyncio.create_task(self._run(attempt, decision.request.deadline))
+                self._start(attempt, decision.request.deadline)
             elif isinstance(decision, Refused):
                 self.counts[f"refused.{decision.failure.reason}"] += 1
                 self._send_failure(attempt, decision.failure)
@@ -223,22 +223,32 @@
         free = admission.free_slots(self.state)
         attempt.link.send(frames.Refusal(attempt.call.attempt, failure, free))
 
-    async def _run(self, attempt: _Attempt, deadline: float) -> None:
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        failure: Failure | None = None
+    def _start(self, attempt: _Attempt, deadline: float) -> None:
         self.counts["admitted"] += 1
+        started = asyncio.get_running_loop().time()
+        attempt.task = asyncio.create_task(self._run(attempt, deadline))
+        attempt.task.add_done_callback(lambda task: self._finish(attempt, started, task))
+
+    async def _run(self, attempt: _Attempt, deadline: float) -> Failure | None:
         try:
             async with asyncio.timeout_at(deadline):
-                failure = await self._exchange(attempt)
+                return await self._exchange(attempt)
         except TimeoutError:
-            failure = may_have_run(Reason.DEADLINE, "the deadline passed while it ran")
-        except asyncio.CancelledError:
-            failure = may_have_run(Reason.CALLER_GONE, "cancelled while it ran")
+            return may_have_run(Reason.DEADLINE, "the deadline passed while it ran")
         except Exception as error:
             log.exception("attempt failed", extra={"call_id": attempt.call.call_id})
-            failure = may_have_run(Reason.BACKEND_BROKE, repr(error))
-        decisions = admission.finish(self.state, attempt.id, started, loop.time())
+            return may_have_run(Reason.BACKEND_BROKE, repr(error))
+
+    def _finish(
+        self, attempt: _Attempt, started: float, task: asyncio.Task[Failure | None]
+    ) -> None:
+        """Free the slot; here, since a task cancelled before its first step runs nothing."""
+        if task.cancelled():
+            failure: Failure | None = may_have_run(Reason.CALLER_GONE, "cancelled while it ran")
+        else:
+            failure = task.result()
+        now = asyncio.get_running_loop().time()
+        decisions = admission.finish(self.state, attempt.id, started, now)
         if failure is not None:
             self.counts[f"failed.{failure.reason}"] += 1
             self._send_failure(attempt, failure)
