Test spreading and membership between nodes without a network

Change: scenarios over 60 nodes: everybody by about one push, silent receivers, receivers that know the version already, refuted suspicion, a cut-off node that keeps its view. Three mutants.

--- /dev/null
+++ b/features/spreading.feature
@@ -0,0 +1,28 @@
+Feature: A version reaches every daemon by pushes alone
+
+  Scenario: Everybody gets it, each by about one push
+    Given 60 nodes in 9 data centres of 3 regions that see each other
+    When one of them commits a version
+    Then all have it in force and at most 70 pushes were sent
+
+  Scenario: Receivers that are silent are worked around
+    Given 60 nodes in 9 data centres of 3 regions that see each other
+    And 6 of them are silent
+    When one of them commits a version and unanswered pushes are followed up
+    Then all that are not silent have it in force
+
+  Scenario: A receiver that knows it already passes it on all the same
+    Given 60 nodes in 9 data centres of 3 regions that see each other
+    And the relays and first receivers have learned it before
+    When one of them commits a version
+    Then all have it in force and at most 140 pushes were sent
+
+  Scenario: A suspect refutes and stays
+    Given 60 nodes in 9 data centres of 3 regions that see each other
+    When one node suspects another and tells it
+    Then the suspect is alive again in that node's view
+
+  Scenario: A partition does not empty a view
+    Given 60 nodes in 9 data centres of 3 regions that see each other
+    When one node hears from nobody for a minute
+    Then it still has 59 others in its view, and finds them again when they answer
--- /dev/null
+++ b/features/steps/spreading.py
@@ -0,0 +1,148 @@
+"""Steps for spreading and membership between nodes, without a network."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+
+from behave import given, then, when
+
+from hornbeamgw.core import edit, membership, node, spreading, versions
+from hornbeamgw.core.edit import GENESIS, Change, Edit
+from hornbeamgw.core.membership import Member, Status, Timing
+from hornbeamgw.core.node import Moment, Node
+from hornbeamgw.core.versions import Origin, Path
+
+BODY = {"name": "e", "owner": "o", "traffic_class": "c", "limits": {"slots": 1}}
+
+
+@given("{count:d} nodes in 9 data centres of 3 regions that see each other")
+def nodes(context, count):
+    context.rng = random.Random(1)
+    context.now = 0.0
+    context.silent = set()
+    members = [Member(f"n{i:03d}", f"dc{i % 9}", f"r{i % 3}", 1) for i in range(count)]
+    context.nodes = {m.address: Node(m, Timing()) for m in members}
+    for held in context.nodes.values():
+        membership.merge(held.view, members, 0.0, tell=False)
+        node.set_floor(held, 0, "start", Moment(0.0, 0.0))
+    change = Change(key="entry/e", based_on=0, body=BODY)
+    wanted = Edit(edit_id="e", author="t", changes=[change])
+    context.blob = edit.encode_delta(edit.accept(GENESIS, wanted, 0).unwrap())
+    context.queue = deque()
+    context.sent = Counter()
+
+
+def post(context, effects):
+    for effect in effects:
+        if isinstance(effect, node.Send):
+            context.sent[type(effect.envelope.message).__name__] += 1
+            context.queue.append(effect)
+
+
+def deliver(context):
+    while context.queue:
+        effect = context.queue.popleft()
+        if effect.to in context.silent or effect.envelope.sender in context.silent:
+            continue
+        moment = Moment(context.now, context.now)
+        post(context, node.receive(context.nodes[effect.to], effect.envelope, moment, context.rng))
+
+
+def learn(context, address):
+    origin = Origin(Path.COMMIT, address)
+    return node.learn_deltas(context.nodes[address], [context.blob], origin, Moment(0.0, 0.0))[1]
+
+
+@given("{count:d} of them are silent")
+def silent(context, count):
+    context.silent = set(context.rng.sample(sorted(context.nodes)[1:], count))
+
+
+@given("the relays and first receivers have learned it before")
+def learned_before(context):
+    first = context.nodes["n000"]
+    members = membership.reachable(first.view)
+    scope = spreading.Scope.FLEET
+    found = spreading.tree(first.view.me, members, 1, scope, spreading.LOWEST, spreading.HIGHEST)
+    assert len(found) >= 6, found
+    for target in found:
+        learn(context, target.address)
+
+
+@when("one of them commits a version")
+def commit(context):
+    post(context, learn(context, "n000"))
+    post(context, node.push(context.nodes["n000"], Moment(0.0, 0.0)))
+    deliver(context)
+
+
+@when("one of them commits a version and unanswered pushes are followed up")
+def commit_and_follow(context):
+    commit(context)
+    for _ in range(10):
+        context.now += spreading.PUSH_ACK_TIMEOUT
+        for address, held in context.nodes.items():
+            if address not in context.silent:
+                moment = Moment(context.now, context.now)
+                post(context, node.check(held, moment, context.rng))
+        deliver(context)
+
+
+@then("all have it in force and at most {pushes:d} pushes were sent")
+def all_have(context, pushes):
+    behind = [a for a, n in context.nodes.items() if not versions.is_ready(n.versions)]
+    assert not behind, behind
+    assert len(context.nodes) - 1 <= context.sent["Push"] <= pushes, context.sent
+
+
+@then("all that are not silent have it in force")
+def all_others(context):
+    behind = {a for a, n in context.nodes.items() if not versions.is_ready(n.versions)}
+    assert behind == context.silent, behind ^ context.silent
+
+
+@when("one node suspects another and tells it")
+def suspect(context):
+    asker, suspected = context.nodes["n000"], context.nodes["n009"]
+    membership._mark(asker.view, "n009", Status.SUSPECT, 0.0)
+    assert asker.view.members_by_address["n009"].status is Status.SUSPECT
+    effect = node.Send("n009", node.envelope(asker, "n009", membership.Probe(1)))
+    post(context, [effect])
+    deliver(context)
+    assert suspected.view.me.sequence > 0
+
+
+@then("the suspect is alive again in that node's view")
+def refuted(context):
+    assert context.nodes["n000"].view.members_by_address["n009"].status is Status.ALIVE
+
+
+@when("one node hears from nobody for a minute")
+def cut_off(context):
+    context.silent = {"n000"}
+    run(context, 90)
+    view = context.nodes["n000"].view
+    context.statuses = Counter(m.status for m in view.members_by_address.values())
+
+
+def run(context, seconds):
+    held = context.nodes["n000"]
+    for _ in range(seconds):
+        context.now += 1.0
+        moment = Moment(context.now, context.now)
+        post(context, node.tick(held, moment, context.rng))
+        post(context, node.check(held, moment, context.rng))
+        deliver(context)
+
+
+@then("it still has {count:d} others in its view, and finds them again when they answer")
+def still_there(context, count):
+    view = context.nodes["n000"].view
+    assert context.statuses[Status.DEAD] > 0, context.statuses
+    assert len(view.members_by_address) == count + 1
+    context.silent = set()
+    run(context, 900)
+    assert all(m.status is Status.ALIVE for m in view.members_by_address.values()), Counter(
+        m.status for m in view.members_by_address.values()
+    )
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -20,6 +20,7 @@
 ADMISSION = "features/admission.feature"
 COMMIT = "features/commit.feature"
 RECOVERY = "features/recovery.feature"
+SPREADING = "features/spreading.feature"
 
 
 class Mutant(NamedTuple):
@@ -32,6 +33,24 @@
 
 
 MUTANTS = (
+    Mutant(
+        "a known version is passed on to a range not covered yet",
+        "hornbeamgw/core/node.py",
+        (("if message.version != known or asked in node.covered:", "if True:"),),
+        SPREADING,
+    ),
+    Mutant(
+        "another takes the place of a silent receiver",
+        "hornbeamgw/core/node.py",
+        (("if failed is None or len(avoided) > spreading.PUSH_ROUNDS:", "if True:"),),
+        SPREADING,
+    ),
+    Mutant(
+        "a suspect refutes",
+        "hornbeamgw/core/membership.py",
+        (("_order(heard) > _order(state.me)", "False"),),
+        SPREADING,
+    ),
     Mutant(
         "a restart does not go below the floor",
         "hornbeamgw/core/versions.py",
