--- a/features/admission.feature
+++ b/features/admission.feature
@@ -44,6 +44,12 @@
     And somebody asks about that attempt
     Then the answer is "may_have_run"
 
+  Scenario: An attempt id that comes twice runs once, and the second is not told "not_run"
+    Given a backend server of "roster" with 2 slots that is "serving"
+    When a request for "roster" arrives
+    And the same attempt arrives again
+    Then the second is refused with verdict "may_have_run" and one runs
+
   Scenario: A queued attempt that is asked about is taken out and never runs
     Given a backend server of "roster" with 1 slots that is "serving"
     When 2 requests of "bulk" with 1 slots, 0 reserved and queue 5 arrive
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -100,6 +100,18 @@
     context.answer = admission.resolve(context.state, AttemptId("a", 1, 77), age, 100.0)
 
 
+@when("the same attempt arrives again")
+def again(context):
+    context.second = admission.admit(context.state, context.requests[0], "roster", 0.1)
+
+
+@then('the second is refused with verdict "{verdict}" and one runs')
+def refused_again(context, verdict):
+    assert isinstance(context.second, Refused), context.second
+    assert context.second.failure.verdict == verdict, context.second
+    assert len(context.state.running_by_attempt) == 1
+
+
 @when("somebody asks about that attempt")
 def ask_running(context):
     context.answer = admission.resolve(context.state, context.requests[0].attempt, 1.0, 0.0)
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -14,7 +14,7 @@
 
 from hornbeamgw.core.membership import ServerState
 from hornbeamgw.core.snapshot import Limits
-from hornbeamgw.core.verdict import Failure, Reason, Verdict, not_run
+from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 
 MEMORY_S = 60.0
 MEMORY_MAX = 100_000
@@ -62,7 +62,7 @@
 
 
 class Refused(NamedTuple):
-    """Turn a request away; it has not run."""
+    """Turn a request away; it does not run by this decision."""
 
     request: Request
     failure: Failure
@@ -153,8 +153,10 @@
 
 def admit(state: AdmissionState, request: Request, service: str, now: float) -> Decision:
     """Decide on a request that has just arrived."""
-    if request.attempt in state.fates_by_attempt:
-        return Refused(request, not_run(Reason.FENCED))
+    known = state.fates_by_attempt.get(request.attempt)
+    if known is not None:
+        ran = known.fate in (Fate.RUNNING, Fate.FINISHED)
+        return Refused(request, may_have_run(Reason.FENCED) if ran else not_run(Reason.FENCED))
     if state.server_state is ServerState.DRAINING:
         return _refuse(state, request, Reason.DRAINING, now)
     if state.server_state is ServerState.STARTING:
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -149,12 +149,14 @@
             )
         if learned.applied is None:
             return
+        arrival = self.versions.arrivals_by_version.get(learned.applied.version)
         log.info(
             "version in force",
             extra={
                 "version": learned.applied.version,
                 "path": origin.path,
                 "sender": origin.sender,
+                "size": arrival.size if arrival else None,
             },
         )
         for callback in self.on_applied:
