--- a/benchmarks/data.py
+++ b/benchmarks/data.py
@@ -39,7 +39,7 @@
         self.times.append(outcome.elapsed * 1000)
 
 
-async def _ready(fleet: Fleet, places: list[Place], service: str) -> None:
+async def ready(fleet: Fleet, places: list[Place], service: str) -> None:
     await fleet.start_nodes(places)
     answer = await ask(fleet.nodes[0].admin, "POST", "/edits", example_edit(0))
     if not await fleet.wait_in_force(answer["version"], LIMIT_S):
@@ -97,7 +97,7 @@
     """Time calls straight, through two byte relays, and through two daemons."""
     async with Fleet("latency", {"log_level": "WARNING"}) as fleet:
         server = Place("suva-1", "fiji", "slot-desk", slots=64, work_ms=0)
-        await _ready(fleet, [Place("suva-1", "fiji"), server], "slot-desk")
+        await ready(fleet, [Place("suva-1", "fiji"), server], "slot-desk")
         backend = fleet.nodes[1].backend
         assert backend is not None
         address = str(backend.said["listening"])
@@ -120,7 +120,7 @@
     late, cut_off = [], []
     async with Fleet("drain", {"log_level": "WARNING"}) as fleet:
         places = [Place(f"suva-{i % 3 + 1}", "fiji", "slot-desk") for i in range(DRAINS + 3)]
-        await _ready(fleet, places, "slot-desk")
+        await ready(fleet, places, "slot-desk")
         load = Load(lambda: [n.callers for n in fleet.nodes], random.Random(1), KINDS[:1])
         load.start(16, 0.005)
         for node in fleet.nodes[:DRAINS]:
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -4,14 +4,14 @@
 
 import sys
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import msgspec
 
 from hornbeamgw.testing.stats import percentile
 
-Benchmark = Callable[[], Awaitable[None]]
+Benchmark = Callable[[], Coroutine[Any, Any, None]]
 benchmarks_by_name: dict[str, Benchmark] = {}
 
 
