Look again only at what changed when a version is built

Cause: convergence grew in a straight line with the number of processes on one machine (18 ms at 10 daemons, 153 ms at 200): the time went into building the version, of which each daemon pays all. get_type_hints ran anew for every item, and the form of every item was checked anew. Ruled out: hops (the tree is four deep at 200) and the wire (a push decodes in 0.05 ms).

Change: type hints are kept per shape; the form of an item is not checked again where it is the very object of the version that was built last. References and matches are checked in full.

--- a/hornbeamgw/core/catalogue.py
+++ b/hornbeamgw/core/catalogue.py
@@ -160,15 +160,22 @@
     return problems
 
 
-def validate(items: Items, source: str = "catalogue") -> list[Problem]:
-    """Return every problem of a whole catalogue: form, names, references and sizes."""
+NO_ITEMS: Items = {}
+
+
+def validate(items: Items, source: str = "catalogue", trusted: Items = NO_ITEMS) -> list[Problem]:
+    """Return every problem of a whole catalogue: form, names, references and sizes.
+
+    The form of an item is not looked at again where it is the very object of a trusted one.
+    """
     problems: list[Problem] = []
     if len(items) > MAX_ITEMS:
         problems.append(Problem(source, "(document)", len(items), f"at most {MAX_ITEMS} items"))
     routes_by_match: dict[tuple[str, str, str], str] = {}
     for key in sorted(items):
         body = items[key].body
-        found = check_body(key, body, source, key)
+        is_known = trusted.get(key) is items[key]
+        found = [] if is_known else check_body(key, body, source, key)
         problems += found
         if found:
             continue
--- a/hornbeamgw/core/problems.py
+++ b/hornbeamgw/core/problems.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import re
 import types
 from collections.abc import Mapping
@@ -99,13 +100,18 @@
     return [r[0] for r in results], [problem for r in results for problem in r[1]]
 
 
+@functools.cache
+def _hints_of(shape: type) -> dict[str, Any]:
+    return get_type_hints(shape, include_extras=True)
+
+
 def check_mapping(
     document: object, shape: type, source: str, path: str = ""
 ) -> tuple[dict[str, Any], list[Problem]]:
     """Check a mapping against a TypedDict and return the values with all problems."""
     if not isinstance(document, Mapping):
         return {}, [Problem(source, path or "(document)", document, "a mapping")]
-    hints = get_type_hints(shape, include_extras=True)
+    hints = _hints_of(shape)
     prefix = f"{path}." if path else ""
     problems = [
         Problem(source, f"{prefix}{key}", document[key], f"one of the keys {sorted(hints)}")
--- a/hornbeamgw/core/snapshot.py
+++ b/hornbeamgw/core/snapshot.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from hornbeamgw.core.catalogue import Items, validate
+from hornbeamgw.core.catalogue import NO_ITEMS, Items, validate
 from hornbeamgw.core.problems import Problem
 
 DEFAULT_QUEUE = 16
@@ -92,9 +92,11 @@
     }
 
 
-def build(version: int, digest: str, items: Items) -> Result[Snapshot, list[Problem]]:
+def build(
+    version: int, digest: str, items: Items, trusted: Items = NO_ITEMS
+) -> Result[Snapshot, list[Problem]]:
     """Build a snapshot aside, or return why this version can't be applied."""
-    problems = validate(items, f"version {version}")
+    problems = validate(items, f"version {version}", trusted)
     if problems:
         return Err(problems)
     services = frozenset(key.partition("/")[2] for key in items if key.startswith("service/"))
--- a/hornbeamgw/core/versions.py
+++ b/hornbeamgw/core/versions.py
@@ -11,7 +11,7 @@
 from result import Err
 
 from hornbeamgw.core import invariants
-from hornbeamgw.core.catalogue import Item, digest_of
+from hornbeamgw.core.catalogue import NO_ITEMS, Item, Items, digest_of
 from hornbeamgw.core.edit import GENESIS, Catalogue, decode_delta, extend
 from hornbeamgw.core.problems import Problem
 from hornbeamgw.core.snapshot import EMPTY, Snapshot, build
@@ -63,6 +63,7 @@
         """Start with nothing: no floor, the empty catalogue."""
         self.catalogue: Catalogue = GENESIS
         self.snapshot: Snapshot = EMPTY
+        self.built_items: Items = NO_ITEMS
         self.floor: int | None = None
         self.deltas_by_version: dict[int, bytes] = {}
         self.rejected_by_version: dict[int, list[Problem]] = {}
@@ -86,12 +87,13 @@
         return None
     if known.version <= state.snapshot.version or known.version in state.rejected_by_version:
         return None
-    built = build(known.version, known.digest, known.items)
+    built = build(known.version, known.digest, known.items, state.built_items)
     if isinstance(built, Err):
         state.rejected_by_version[known.version] = built.err_value
         return None
     invariants.check_swap(state.snapshot, built.ok_value, state.floor)
     state.snapshot = built.ok_value
+    state.built_items = known.items
     state.applied_at_by_version[known.version] = now
     _trim(state.applied_at_by_version, KEPT_ARRIVALS)
     return state.snapshot
