Let late answers arrive in the randomised fleet; end a test run with its count

Cause: two mutants went unnoticed: an older whole catalogue taken for a newer one, and a delta taken out of its order.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(PYTHON) -m hornbeamgw.testing.demo
 
 test: setup
-	$(PYTHON) -m behave --format progress --no-source
+	$(PYTHON) -m behave --format progress3 --no-source --no-summary
 
 lint: setup
 	$(PYTHON) -m black --check --quiet .
--- a/properties/fleet_machine.py
+++ b/properties/fleet_machine.py
@@ -22,6 +22,7 @@
 from result import Err
 
 from hornbeamgw.core import commit, edit, floor, invariants, membership, node, versions
+from hornbeamgw.core.catalogue import digest_of
 from hornbeamgw.core.edit import Change, Edit
 from hornbeamgw.core.membership import Member, Timing
 from hornbeamgw.core.node import Moment, Node
@@ -44,6 +45,7 @@
 CALM = {
     "deliver": 30,
     "duplicate": 3,
+    "late_answer": 2,
     "lose": 1,
     "time_passes": 14,
     "send_edit": 8,
@@ -105,6 +107,9 @@
         self.pending_writes: list[PendingWrite] = []
         self.held: dict[str, int] = {}
         self.digests_by_version: dict[int, str] = {}
+        self.newest = edit.GENESIS
+        self.deltas: list[bytes] = []
+        self.wholes: list[bytes] = []
         self.incarnation = 1
         self.edits = 0
         self.birth: dict[str, int] = {}
@@ -283,6 +288,11 @@
     def _record_history(self) -> None:
         row = self.platform.rows_by_key.get(commit.HEAD_KEY)
         head = commit.decode_head(row.value if row else None)
+        if head["version"] > len(self.deltas):
+            self.deltas.append(self.platform.rows_by_key[commit.delta_key(head["version"])].value)
+            followed = edit.extend(self.newest, edit.decode_delta(self.deltas[-1]))
+            self.newest = followed.unwrap()
+            self.wholes.append(versions.encode_catalogue(self.newest))
         if head["version"]:
             kept = self.digests_by_version.setdefault(head["version"], head["digest"])
             assert kept == head["digest"], f"version {head['version']} was committed twice"
@@ -299,6 +309,20 @@
         self._carry(held, effects)
         return advanced
 
+    def late_answer(self) -> None:
+        """Let an answer to an old pull arrive: any deltas or any whole catalogue so far."""
+        held = self._pick()
+        if held is None or not self.deltas:
+            return
+        origin, moment = Origin(Path.PULL, "late"), self._moment()
+        if self.rng.random() < 0.5:
+            blobs = self.rng.sample(self.deltas, min(2, len(self.deltas)))
+            _, effects = node.learn_deltas(held, blobs, origin, moment)
+        else:
+            _, effects = node.learn_catalogue(held, self.rng.choice(self.wholes), origin, moment)
+        self._carry(held, effects)
+        STEPS_BY_KIND["late_answer"] += 1
+
     def poll(self) -> None:
         """Let a reader poll the head, catch up and push."""
         held = self._pick()
@@ -436,6 +460,7 @@
             if held is not None and held.versions.snapshot.version:
                 snapshot = held.versions.snapshot
                 assert self.digests_by_version[snapshot.version] == snapshot.digest
+                assert digest_of(held.versions.built_items) == snapshot.digest, "other items"
                 assert invariants.dangling_routes(snapshot) == 0
 
     def teardown(self) -> None:
