Say once what an admitted attempt is; test the pull of a version heard of in passing

Cause: a mutant without that pull went unnoticed, since in the randomised fleet every node is a reader; and the test of an admitted attempt stood twice.

--- a/features/spreading.feature
+++ b/features/spreading.feature
@@ -17,6 +17,11 @@
     When one of them commits a version
     Then all have it in force and at most 140 pushes were sent
 
+  Scenario: Whoever hears of a higher version in passing pulls it
+    Given 60 nodes in 9 data centres of 3 regions that see each other
+    When one of them commits a version that nobody was pushed, and probes another
+    Then the other pulls from it once the push had time to come
+
   Scenario: A suspect refutes and stays
     Given 60 nodes in 9 data centres of 3 regions that see each other
     When one node suspects another and tells it
--- a/features/steps/spreading.py
+++ b/features/steps/spreading.py
@@ -102,6 +102,21 @@
     assert behind == context.silent, behind ^ context.silent
 
 
+@when("one of them commits a version that nobody was pushed, and probes another")
+def probe_with_version(context):
+    learn(context, "n000")
+    probe = node.envelope(context.nodes["n000"], "n001", membership.Probe(1))
+    heard = context.nodes["n001"]
+    context.effects = node.receive(heard, probe, Moment(0.0, 0.0), context.rng)
+    context.later = node.check(heard, Moment(1.0, 1.0), context.rng)
+
+
+@then("the other pulls from it once the push had time to come")
+def pulls(context):
+    assert not [e for e in context.effects if isinstance(e, node.StartPull)], context.effects
+    assert node.StartPull("n000") in context.later, context.later
+
+
 @when("one node suspects another and tells it")
 def suspect(context):
     asker, suspected = context.nodes["n000"], context.nodes["n009"]
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -76,6 +76,10 @@
     at: float
 
 
+def _was_admitted(known: _Fate) -> bool:
+    return known.fate in (Fate.RUNNING, Fate.FINISHED)
+
+
 class AdmissionState:
     """Hold the backend server as it announced itself, and what runs and waits there."""
 
@@ -155,8 +159,8 @@
     """Decide on a request that has just arrived."""
     known = state.fates_by_attempt.get(request.attempt)
     if known is not None:
-        ran = known.fate in (Fate.RUNNING, Fate.FINISHED)
-        return Refused(request, may_have_run(Reason.FENCED) if ran else not_run(Reason.FENCED))
+        failure = may_have_run if _was_admitted(known) else not_run
+        return Refused(request, failure(Reason.FENCED))
     if state.server_state is ServerState.DRAINING:
         return _refuse(state, request, Reason.DRAINING, now)
     if state.server_state is ServerState.STARTING:
@@ -223,7 +227,7 @@
     known = state.fates_by_attempt.get(attempt)
     if known is None and age >= MEMORY_S:
         return Verdict.MAY_HAVE_RUN
-    if known is not None and known.fate in (Fate.RUNNING, Fate.FINISHED):
+    if known is not None and _was_admitted(known):
         return Verdict.MAY_HAVE_RUN
     withdraw(state, attempt, now)
     _remember(state, attempt, Fate.FENCED, now)
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -99,7 +99,7 @@
                 "pass",
             ),
         ),
-        FLEET,
+        SPREADING,
     ),
     Mutant(
         "a lost answer is resolved by the edit id",
