--- a/features/steps/randomised.py
+++ b/features/steps/randomised.py
@@ -6,7 +6,8 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from hornbeamgw.core import invariants
-from properties.fleet_machine import CALM, PROFILE, STEPS_BY_KIND, FleetMachine
+from properties.fleet_machine import PROFILE, STEPS_BY_KIND, FleetMachine
+from properties.moods import CALM
 
 KINDS = len(CALM)
 
--- a/properties/fleet_machine.py
+++ b/properties/fleet_machine.py
@@ -30,6 +30,7 @@
 from hornbeamgw.core.table import Write
 from hornbeamgw.core.versions import Origin, Path
 from hornbeamgw.testing.memory import MemoryPlatform
+from properties.moods import BURST, CALM, WEIGHTS_BY_MOOD
 
 NODES = 6
 DATA_CENTRES = ("suva-1", "suva-2", "dar-1")
@@ -41,32 +42,6 @@
 STEPS_BY_KIND: Counter[str] = Counter()
 
 seeds = st.integers(0, 2**32 - 1)
-BURST = 40
-CALM = {
-    "deliver": 30,
-    "duplicate": 3,
-    "late_answer": 2,
-    "lose": 1,
-    "time_passes": 14,
-    "send_edit": 8,
-    "write_takes_effect": 8,
-    "poll": 3,
-    "learn_floor": 4,
-    "restart": 2,
-    "heal": 1,
-    "crash": 0,
-    "partition": 0,
-    "pause": 0,
-    "platform_outage": 0,
-}
-WEIGHTS_BY_MOOD: dict[str, dict[str, int]] = {
-    "calm": {},
-    "storm": {"crash": 6, "restart": 6, "learn_floor": 10},
-    "partitions": {"partition": 4, "heal": 3, "lose": 4},
-    "outage": {"platform_outage": 4, "crash": 3, "restart": 4, "learn_floor": 10},
-    "pauses": {"pause": 6, "lose": 4, "crash": 1},
-    "everything": {"crash": 2, "partition": 2, "pause": 2, "platform_outage": 2, "lose": 3},
-}
 
 
 class InFlight(NamedTuple):
--- a/properties/soak.py
+++ b/properties/soak.py
@@ -8,7 +8,8 @@
 import time
 from collections.abc import Iterator
 
-from properties.fleet_machine import STEPS_BY_KIND, WEIGHTS_BY_MOOD, FleetMachine
+from properties.fleet_machine import STEPS_BY_KIND, FleetMachine
+from properties.moods import WEIGHTS_BY_MOOD
 
 BURSTS = 12
 SAY_EVERY_S = 60.0
