--- a/hornbeamgw/backends/base.py
+++ b/hornbeamgw/backends/base.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
+from hornbeamgw.backends.rows import RowStore
 from hornbeamgw.core.table import Row, Write
 
 
@@ -33,10 +34,11 @@
 
 
 class Platform(NamedTuple):
-    """Hold the two services that keep what must last."""
+    """Hold the services that keep what must last; a platform need not have them all."""
 
-    table: TableService
-    objects: ObjectStore
+    table: TableService | None = None
+    objects: ObjectStore | None = None
+    rows: RowStore | None = None
 
 
 PlatformFactory = Callable[[str, float], Platform]
--- a/hornbeamgw/backends/http_platform.py
+++ b/hornbeamgw/backends/http_platform.py
@@ -19,11 +19,17 @@
 STATUS_PRECONDITION_FAILED = 412
 
 
-async def _ask(
-    client: HttpClient, method: str, target: str, body: bytes = b"", headers: Headers | None = None
+async def ask(
+    client: HttpClient,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: Headers | None = None,
+    timeout: float | None = None,
 ) -> Response:
+    """Return an answer; raise PlatformError for none, for a failure and for a refusal."""
     try:
-        response = await client.request(method, target, headers, body)
+        response = await client.request(method, target, headers, body, timeout)
     except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError) as error:
         detail = str(error) or type(error).__name__
         raise PlatformError(f"{method} {target}: {detail}") from error
@@ -51,7 +57,7 @@
 
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where there is none; raise PlatformError."""
-        response = await _ask(self._client, "GET", f"/table/{key}")
+        response = await ask(self._client, "GET", f"/table/{key}")
         if response.status == STATUS_NOT_FOUND:
             return None
         etag = header(response.headers, b"etag")
@@ -62,7 +68,7 @@
     async def transact(self, writes: Sequence[Write]) -> bool:
         """Return whether all conditions held and all was written; raise PlatformError."""
         body = msgspec.json.encode([_encode_write(write) for write in writes])
-        response = await _ask(self._client, "POST", "/table", body)
+        response = await ask(self._client, "POST", "/table", body)
         if response.status == STATUS_PRECONDITION_FAILED:
             return False
         if response.status != STATUS_OK:
@@ -79,7 +85,7 @@
 
     async def get(self, name: str) -> bytes | None:
         """Return an object, or None where there is none; raise PlatformError."""
-        response = await _ask(self._client, "GET", f"/objects/{name}")
+        response = await ask(self._client, "GET", f"/objects/{name}")
         if response.status == STATUS_NOT_FOUND:
             return None
         if response.status != STATUS_OK:
@@ -89,7 +95,7 @@
     async def put(self, name: str, value: bytes) -> None:
         """Store an object; one that is there already has the same content by its name."""
         absent = [(b"if-none-match", b"*")]
-        response = await _ask(self._client, "PUT", f"/objects/{name}", value, absent)
+        response = await ask(self._client, "PUT", f"/objects/{name}", value, absent)
         if response.status not in (STATUS_OK, STATUS_CREATED, STATUS_PRECONDITION_FAILED):
             raise PlatformError(f"PUT /objects/{name}: status {response.status}")
 
--- a/hornbeamgw/core/catalogue.py
+++ b/hornbeamgw/core/catalogue.py
@@ -43,17 +43,28 @@
     owner: Name
 
 
+class PartBody(TypedDict):
+    """Hold one service of a split route and its weight."""
+
+    service: Name
+    weight: Count
+
+
 class RouteBody(TypedDict):
-    """Hold a route from host, path prefix and methods to a service and an entry."""
+    """Hold a route from host, path prefix and methods to an entry and a service or a split."""
 
     name: Name
     host: Host
     prefix: Prefix
-    methods: list[Method]
-    service: Name
+    methods: NotRequired[list[Method]]
+    service: NotRequired[Name]
+    split: NotRequired[list[PartBody]]
     entry: Name
     idempotent: bool
     deadline_ms: DeadlineMs
+    objective_ms: NotRequired[DeadlineMs]
+    attempts: NotRequired[Positive]
+    priority: NotRequired[Count]
 
 
 class CatalogueFile(TypedDict):
@@ -81,6 +92,7 @@
 }
 SECTIONS_BY_KIND = {"entry": "entries", "service": "services", "route": "routes"}
 MAX_ITEMS = 20_000
+ANY_METHOD = "*"
 
 
 class ParsedFile(NamedTuple):
@@ -150,16 +162,29 @@
 
 def _route_problems(key: str, body: Mapping[str, Any], items: Items, source: str) -> list[Problem]:
     problems = []
-    for kind in ("service", "entry"):
-        target = f"{kind}/{body[kind]}"
-        if target not in items:
+    if ("service" in body) == ("split" in body):
+        given = body.get("service")
+        problems.append(Problem(source, f"{key}.service", given, "either a service or a split"))
+    if sum(weight for _, weight in parts_of(body)) < 1:
+        problems.append(Problem(source, f"{key}.split", body.get("split"), "a weight above 0"))
+    named = [("entry", body["entry"])]
+    named += [("service", service) for service, _ in parts_of(body)]
+    for kind, name in named:
+        if f"{kind}/{name}" not in items:
             expected = f"the name of a {kind} in this catalogue"
-            problems.append(Problem(source, f"{key}.{kind}", body[kind], expected))
-    if not body["methods"]:
+            problems.append(Problem(source, f"{key}.{kind}", name, expected))
+    if "methods" in body and not body["methods"]:
         problems.append(Problem(source, f"{key}.methods", [], "at least one method"))
     return problems
 
 
+def parts_of(body: Mapping[str, Any]) -> list[tuple[str, int]]:
+    """Return the services that a route's body names, each with its weight."""
+    if "split" in body:
+        return [(part["service"], part["weight"]) for part in body["split"]]
+    return [(body["service"], 1)] if "service" in body else []
+
+
 NO_ITEMS: Items = {}
 
 
@@ -183,7 +208,7 @@
             problems += _limit_problems(key, body["limits"], source)
         if key.startswith("route/"):
             problems += _route_problems(key, body, items, source)
-            for method in body["methods"]:
+            for method in body.get("methods", (ANY_METHOD,)):
                 other = routes_by_match.setdefault((body["host"], body["prefix"], method), key)
                 if other != key:
                     expected = f"a match that {other} does not have already"
--- a/hornbeamgw/core/edit.py
+++ b/hornbeamgw/core/edit.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from result import Err, Ok, Result
@@ -36,7 +36,11 @@
 
 
 class Delta(TypedDict):
-    """Hold an accepted version as the difference from its parent."""
+    """Hold an accepted version as the difference from its parent.
+
+    Versions of an outside source rise unevenly, so such a delta names its parent; and since
+    daemons may see different ones of them, its items bear no revision.
+    """
 
     version: int
     edit_id: str
@@ -45,6 +49,7 @@
     parent_digest: str
     digest: str
     changes: list[DeltaChange]
+    parent_version: NotRequired[int]
 
 
 class Conflict(NamedTuple):
@@ -72,6 +77,7 @@
     items: Items
 
 
+NO_REVISION = 0
 GENESIS = Catalogue(0, digest_of({}), {})
 
 
@@ -121,18 +127,49 @@
     return Ok(delta)
 
 
+def parent_of(delta: Delta) -> int:
+    """Return the version that a delta follows."""
+    return delta.get("parent_version", delta["version"] - 1)
+
+
 def extend(catalogue: Catalogue, delta: Delta) -> Result[Catalogue, str]:
     """Return the catalogue after a delta, or why the delta does not follow from it."""
-    if delta["version"] != catalogue.version + 1:
+    if parent_of(delta) != catalogue.version or delta["version"] <= catalogue.version:
         return Err(f"delta {delta['version']} does not follow version {catalogue.version}")
     if delta["parent_digest"] != catalogue.digest:
         return Err(f"delta {delta['version']} has another parent digest")
-    items = _merged(catalogue.items, delta["version"], delta["changes"])
+    revision = NO_REVISION if "parent_version" in delta else delta["version"]
+    items = _merged(catalogue.items, revision, delta["changes"])
     if digest_of(items) != delta["digest"]:
         return Err(f"delta {delta['version']} does not give the digest that it names")
     return Ok(Catalogue(delta["version"], delta["digest"], items))
 
 
+def replace(catalogue: Catalogue, version: int, bodies: Mapping[str, Any], at_ms: int) -> Delta:
+    """Return the delta that puts a whole version of an outside source in place of the known one.
+
+    An item whose body is unchanged keeps its identity, so that nothing looks at it again.
+    """
+    known = catalogue.items
+    changes = [
+        DeltaChange(key=key, body=body)
+        for key, body in bodies.items()
+        if key not in known or known[key].body != body
+    ]
+    changes += [DeltaChange(key=key, body=None) for key in known if key not in bodies]
+    items = _merged(known, NO_REVISION, changes)
+    return Delta(
+        version=version,
+        edit_id=f"outside-{version}",
+        author="outside",
+        at_ms=at_ms,
+        parent_digest=catalogue.digest,
+        digest=digest_of(items),
+        changes=changes,
+        parent_version=catalogue.version,
+    )
+
+
 def changes_of(
     current: Catalogue, wanted: ParsedFile, prune: bool, onto_current: bool
 ) -> list[Change]:
--- a/hornbeamgw/core/invariants.py
+++ b/hornbeamgw/core/invariants.py
@@ -24,7 +24,7 @@
 def dangling_routes(snapshot: Snapshot) -> int:
     """Return the number of routes that point at a service or entry not in the snapshot."""
     return sum(
-        route.service not in snapshot.services
+        any(part.service not in snapshot.services for part in route.parts)
         or snapshot.entries_by_name.get(route.entry.name) is not route.entry
         for routes in snapshot.routes_by_host.values()
         for route in routes
--- a/hornbeamgw/core/node.py
+++ b/hornbeamgw/core/node.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
-from typing import NamedTuple
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
 
-from hornbeamgw.core import invariants, membership, spreading, versions
+from hornbeamgw.core import edit, invariants, membership, spreading, versions
 from hornbeamgw.core.catalogue import short_digest
 from hornbeamgw.core.membership import (
     Ack,
@@ -171,6 +171,17 @@
     return learned.advanced, _take(node, learned, origin)
 
 
+def learn_whole(
+    node: Node, version: int, bodies: Mapping[str, Any], origin: Origin, moment: Moment
+) -> tuple[bool, list[Effect]]:
+    """Take a whole version of an outside source; return whether it was new."""
+    known = node.versions.catalogue
+    if version <= known.version:
+        return False, []
+    delta = edit.replace(known, version, bodies, round(moment.wall * 1000))
+    return learn_deltas(node, [edit.encode_delta(delta)], origin, moment)
+
+
 def learn_catalogue(
     node: Node, blob: bytes, origin: Origin, moment: Moment
 ) -> tuple[bool, list[Effect]]:
@@ -208,7 +219,8 @@
 ) -> list[Effect]:
     delta = node.versions.deltas_by_version.get(version, b"")
     carried = delta if len(delta) <= MAX_PUSHED_DELTA else b""
-    message = Push(version, target.scope, target.low, target.high, carried)
+    parent = node.versions.parents_by_version.get(version, 0)
+    message = Push(version, target.scope, target.low, target.high, carried, parent)
     due = moment.now + spreading.PUSH_ACK_TIMEOUT
     node.sent_by_address[target.address] = _Sent(message, due, avoided)
     return [_send(node, target.address, message), WakeAt(due)]
@@ -240,7 +252,7 @@
     known = node.versions.catalogue.version
     if message.version <= known:
         return [Duplicate(sender), _send(node, sender, Have()), *_cover(node, message, moment)]
-    if message.delta and message.version == known + 1:
+    if message.delta and message.parent == known:
         origin = Origin(Path.PUSH, sender)
         advanced, effects = learn_deltas(node, [message.delta], origin, moment)
         if advanced:
@@ -342,11 +354,13 @@
     return [_send(node, address, Have()) for address in chosen]
 
 
-def announce(node: Node) -> list[Effect]:
+def announce(node: Node, everywhere: bool = False) -> list[Effect]:
     """Tell the whole data centre of oneself, having joined; the rest hears by gossip."""
     me = node.view.me
-    local = [m for m in membership.reachable(node.view) if m.data_centre == me.data_centre]
-    others = [m.address for m in local if m.address != me.address]
+    told = [
+        m for m in membership.reachable(node.view) if everywhere or m.data_centre == me.data_centre
+    ]
+    others = [m.address for m in told if m.address != me.address]
     return [Send(address, envelope(node, address, Have(), with_me=True)) for address in others]
 
 
--- a/hornbeamgw/core/options.py
+++ b/hornbeamgw/core/options.py
@@ -13,6 +13,7 @@
 from hornbeamgw.core.problems import Duration, Problem, Size, check_mapping, read_yaml
 
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^\S+:[0-9]{1,5}$")]
 
 ENVIRONMENT_KEYS = {
@@ -41,14 +42,39 @@
     suspicion: NotRequired[Duration]
 
 
+class ServerFile(TypedDict):
+    """Hold what is known of the backend server beside the daemon before it announces itself."""
+
+    service: NotRequired[Text]
+    connections: NotRequired[Count]
+    announce_ttl: NotRequired[Duration]
+
+
+class BudgetFile(TypedDict):
+    """Hold how often the whole fleet may send requests of a service once more."""
+
+    ratio: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=10)]]
+    slack: NotRequired[Count]
+    window: NotRequired[Duration]
+
+
+class PluginsFile(TypedDict):
+    """Hold which plug-ins register themselves, and the folder that they lie in."""
+
+    modules: list[Text]
+    folder: NotRequired[Text]
+
+
 class CallsFile(TypedDict):
     """Hold how calls are carried."""
 
     balancing: NotRequired[Text]
+    dialect: NotRequired[Text]
     replay_limit: NotRequired[Size]
     header_timeout: NotRequired[Duration]
     idle_timeout: NotRequired[Duration]
     drain_limit: NotRequired[Duration]
+    leave_after: NotRequired[Duration]
 
 
 class SettingsFile(TypedDict):
@@ -60,7 +86,14 @@
     address: Address
     callers: Address
     admin: Address
+    ready: NotRequired[Address]
+    announcements: NotRequired[Address]
     seeds: NotRequired[list[Address]]
+    directory: NotRequired[bool]
+    source: NotRequired[Text]
+    plugins: NotRequired[PluginsFile]
+    server: NotRequired[ServerFile]
+    budget: NotRequired[BudgetFile]
     platform: PlatformFile
     membership: NotRequired[MembershipFile]
     calls: NotRequired[CallsFile]
@@ -79,7 +112,19 @@
     callers: str
     admin: str
     platform_address: str
+    ready: str = ""
+    announcements: str = ""
     seeds: tuple[str, ...] = ()
+    directory: bool = False
+    source: str = "commits"
+    plugins_modules: tuple[str, ...] = ()
+    plugins_folder: str = ""
+    server_service: str = ""
+    server_connections: int = 100
+    server_announce_ttl: float = 6.0
+    budget_ratio: float = 0.2
+    budget_slack: int = 50
+    budget_window: float = 10.0
     platform_adapter: str = "http"
     platform_timeout: float = 1.0
     platform_poll: float = 2.0
@@ -87,10 +132,12 @@
     membership_ack_timeout: float = 0.3
     membership_suspicion: float = 4.0
     calls_balancing: str = "two_choice"
+    calls_dialect: str = "hornbeamgw"
     calls_replay_limit: float = 65_536.0
     calls_header_timeout: float = 5.0
     calls_idle_timeout: float = 60.0
     calls_drain_limit: float = 30.0
+    calls_leave_after: float = 0.0
     spreading: str = "tree"
     statsd: str = ""
     log_level: str = "INFO"
@@ -147,6 +194,7 @@
 
 def _check_addresses(flat: Mapping[str, Any], source: str) -> list[Problem]:
     named = [(key, flat.get(key)) for key in ("address", "callers", "admin", "statsd")]
+    named += [(key, flat.get(key)) for key in ("ready", "announcements")]
     named.append(("platform.address", flat.get("platform_address")))
     named += [(f"seeds[{i}]", seed) for i, seed in enumerate(flat.get("seeds", ()))]
     expected = "an IP number and a port, such as 10.0.0.7:7400"
--- a/hornbeamgw/core/snapshot.py
+++ b/hornbeamgw/core/snapshot.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
-from hornbeamgw.core.catalogue import NO_ITEMS, Items, validate
+from hornbeamgw.core.catalogue import ANY_METHOD, NO_ITEMS, Items, parts_of, validate
 from hornbeamgw.core.problems import Problem
 
 DEFAULT_QUEUE = 16
+DEFAULT_ATTEMPTS = 3
 
 
 class Limits(NamedTuple):
@@ -30,17 +31,32 @@
     limits: Limits
 
 
+class Part(NamedTuple):
+    """Hold one service that a route leads to and its share of the requests."""
+
+    service: str
+    share: float
+
+
 class Route(NamedTuple):
-    """Hold a route with the service and entry that it resolves to."""
+    """Hold a route with the services and the entry that it resolves to."""
 
     name: str
     host: str
     prefix: str
     methods: frozenset[str]
-    service: str
+    parts: tuple[Part, ...]
     entry: Entry
     idempotent: bool
     deadline_ms: int
+    objective_ms: int
+    attempts: int
+    priority: int
+
+    @property
+    def service(self) -> str:
+        """Return the service with the largest share."""
+        return max(self.parts, key=lambda part: part.share).service
 
 
 class Snapshot(NamedTuple):
@@ -69,22 +85,35 @@
     return entries
 
 
+def _parts(body: Mapping[str, Any]) -> tuple[Part, ...]:
+    weights = parts_of(body)
+    total = sum(weight for _, weight in weights)
+    return tuple(Part(service, weight / total) for service, weight in weights if weight)
+
+
+def _route(body: Mapping[str, Any], entries: Mapping[str, Entry]) -> Route:
+    deadline_ms = body["deadline_ms"]
+    return Route(
+        body["name"],
+        body["host"],
+        body["prefix"],
+        frozenset(body.get("methods", (ANY_METHOD,))),
+        _parts(body),
+        entries[body["entry"]],
+        body["idempotent"],
+        deadline_ms,
+        body.get("objective_ms", deadline_ms),
+        body.get("attempts", DEFAULT_ATTEMPTS),
+        body.get("priority", 0),
+    )
+
+
 def _routes(items: Items, entries: Mapping[str, Entry]) -> dict[str, tuple[Route, ...]]:
     routes_by_host: dict[str, list[Route]] = {}
     for key, item in items.items():
         if not key.startswith("route/"):
             continue
-        body = item.body
-        route = Route(
-            body["name"],
-            body["host"],
-            body["prefix"],
-            frozenset(body["methods"]),
-            body["service"],
-            entries[body["entry"]],
-            body["idempotent"],
-            body["deadline_ms"],
-        )
+        route = _route(item.body, entries)
         routes_by_host.setdefault(route.host, []).append(route)
     return {
         host: tuple(sorted(routes, key=lambda route: (-len(route.prefix), route.name)))
@@ -115,6 +144,6 @@
     path = target.partition("?")[0]
     name = host.partition(":")[0].lower()
     for route in snapshot.routes_by_host.get(name, ()):
-        if method in route.methods and _covers(route.prefix, path):
+        if (method in route.methods or ANY_METHOD in route.methods) and _covers(route.prefix, path):
             return route
     return None
--- a/hornbeamgw/core/spreading.py
+++ b/hornbeamgw/core/spreading.py
@@ -42,6 +42,7 @@
     low: str
     high: str
     delta: bytes
+    parent: int = 0
 
 
 class Have(NamedTuple):
--- a/hornbeamgw/core/verdict.py
+++ b/hornbeamgw/core/verdict.py
@@ -19,6 +19,7 @@
 
     BAD_REQUEST = "bad_request"
     BACKEND_BROKE = "backend_broke"
+    BACKEND_REFUSED = "backend_refused"
     BACKEND_UNREACHABLE = "backend_unreachable"
     BODY_TOO_LARGE = "body_too_large"
     CALLER_GONE = "caller_gone"
@@ -42,6 +43,7 @@
     reason: Reason
     detail: str = ""
     retry_after_ms: int = 0
+    reached_server: bool = False
 
 
 def not_run(reason: Reason, detail: str = "", retry_after_ms: int = 0) -> Failure:
@@ -51,4 +53,4 @@
 
 def may_have_run(reason: Reason, detail: str = "") -> Failure:
     """Return a failure that leaves open whether the request ran."""
-    return Failure(Verdict.MAY_HAVE_RUN, reason, detail)
+    return Failure(Verdict.MAY_HAVE_RUN, reason, detail, reached_server=True)
--- a/hornbeamgw/core/versions.py
+++ b/hornbeamgw/core/versions.py
@@ -12,7 +12,7 @@
 
 from hornbeamgw.core import invariants
 from hornbeamgw.core.catalogue import NO_ITEMS, Item, Items, digest_of
-from hornbeamgw.core.edit import GENESIS, Catalogue, decode_delta, extend
+from hornbeamgw.core.edit import GENESIS, Catalogue, Delta, decode_delta, extend, parent_of
 from hornbeamgw.core.problems import Problem
 from hornbeamgw.core.snapshot import EMPTY, Snapshot, build
 
@@ -66,6 +66,7 @@
         self.built_items: Items = NO_ITEMS
         self.floor: int | None = None
         self.deltas_by_version: dict[int, bytes] = {}
+        self.parents_by_version: dict[int, int] = {}
         self.rejected_by_version: dict[int, list[Problem]] = {}
         self.arrivals_by_version: dict[int, Arrival] = {}
         self.applied_at_by_version: dict[int, float] = {}
@@ -123,17 +124,19 @@
         if isinstance(extended, Err):
             fault = extended.err_value
             break
-        _advance(state, extended.ok_value, blob, origin, now)
+        _advance(state, extended.ok_value, delta, blob, origin, now)
         advanced = True
     return Learned(advanced, _apply(state, now) if advanced else None, stale, fault)
 
 
 def _advance(
-    state: VersionState, known: Catalogue, blob: bytes, origin: Origin, now: float
+    state: VersionState, known: Catalogue, delta: Delta, blob: bytes, origin: Origin, now: float
 ) -> None:
     state.catalogue = known
     state.deltas_by_version[known.version] = blob
+    state.parents_by_version[known.version] = parent_of(delta)
     _trim(state.deltas_by_version, KEPT_DELTAS)
+    _trim(state.parents_by_version, KEPT_DELTAS)
     arrival = Arrival(known.version, now, origin.path, origin.sender, len(blob))
     state.arrivals_by_version[known.version] = arrival
     _trim(state.arrivals_by_version, KEPT_ARRIVALS)
@@ -167,6 +170,7 @@
         return Learned(stale=1)
     state.catalogue = catalogue
     state.deltas_by_version.clear()
+    state.parents_by_version.clear()
     arrival = Arrival(catalogue.version, now, Path.SNAPSHOT, origin.sender, len(blob))
     state.arrivals_by_version[catalogue.version] = arrival
     return Learned(True, _apply(state, now))
@@ -174,6 +178,12 @@
 
 def deltas_after(state: VersionState, version: int) -> list[bytes] | None:
     """Return the deltas that follow a version, or None where one is no longer kept."""
-    wanted = range(version + 1, state.catalogue.version + 1)
-    blobs = [state.deltas_by_version.get(number) for number in wanted]
-    return None if None in blobs else [blob for blob in blobs if blob is not None]
+    blobs: list[bytes] = []
+    at = state.catalogue.version
+    while at > version:
+        blob = state.deltas_by_version.get(at)
+        if blob is None:
+            return None
+        blobs.append(blob)
+        at = state.parents_by_version[at]
+    return blobs[::-1] if at == version else None
--- a/hornbeamgw/daemon/admin.py
+++ b/hornbeamgw/daemon/admin.py
@@ -51,7 +51,12 @@
     """Answer operators; each path has one function."""
 
     def __init__(
-        self, control: Control, reader: Reader, committer: Committer, gate: Gate, calls: Calls
+        self,
+        control: Control,
+        reader: Reader,
+        committer: Committer | None,
+        gate: Gate,
+        calls: Calls,
     ) -> None:
         """Take the parts to ask."""
         self._control = control
@@ -211,6 +216,8 @@
             wanted = msgspec.json.decode(body, type=Edit)
         except msgspec.MsgspecError as error:
             return 400, {"error": f"edit: {error}"}
+        if self._committer is None:
+            return 409, {"error": "edits: this fleet's catalogue comes from outside; edit it there"}
         outcome = await self._committer.commit(wanted)
         if isinstance(outcome, Committed):
             log.info("edit accepted", extra={"edit": wanted["edit_id"], "version": outcome.version})
--- a/hornbeamgw/daemon/backend_pool.py
+++ b/hornbeamgw/daemon/backend_pool.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 import h11
 
 from hornbeamgw.daemon.http1 import HttpConnection, dial
 
-IDLE_MAX_S = 10.0
+IDLE_MAX_S = 8.0
+KEEP_ALIVE_PART = 0.8  # leaves time for a request to arrive before the server closes
+_KEEP_ALIVE = re.compile(rb"timeout=([0-9]+)")
+DIAL_TIMEOUT_S = 0.25  # the server is on the same VM: a dial takes 1 ms
 IDLE_MAX_FIRST_SEND_S = 0.25
 
 
@@ -22,6 +26,7 @@
         self.opened = 0
         self._idle: list[tuple[HttpConnection, float]] = []
         self._open: set[HttpConnection] = set()
+        self._kept_alive_by_connection: dict[HttpConnection, float] = {}
 
     def configure(self, address: str, connections: int) -> None:
         """Take the address of the server and the most connections it allows."""
@@ -40,21 +45,32 @@
         longest = IDLE_MAX_S if idempotent else IDLE_MAX_FIRST_SEND_S
         while self._idle:
             connection, since = self._idle.pop()
-            fresh = now - since <= longest
-            if fresh and not connection.lost and connection.poll() is None:
+            fresh = now - since <= min(
+                longest, self._kept_alive_by_connection.get(connection, longest)
+            )
+            if fresh and not connection.lost and not connection.has_input():
                 return connection
             self.discard(connection)
         if len(self._open) >= self.connections:
             raise ConnectionError(f"all {self.connections} connections are in use")
-        connection = await dial(self.address)
+        async with asyncio.timeout(DIAL_TIMEOUT_S):
+            connection = await dial(self.address)
         self.opened += 1
         self._open.add(connection)
         return connection
 
+    def note_keep_alive(self, connection: HttpConnection, value: bytes | None) -> None:
+        """Take how long the server says that it keeps an idle connection (s)."""
+        found = _KEEP_ALIVE.search(value or b"")
+        if found is not None:
+            kept = float(found[1]) * KEEP_ALIVE_PART
+            self._kept_alive_by_connection[connection] = kept
+
     def release(self, connection: HttpConnection) -> None:
         """Keep a connection whose exchange is complete; close any other."""
         http = connection.http
-        if http.our_state is h11.DONE and http.their_state is h11.DONE and not connection.lost:
+        whole = http.our_state is h11.DONE and http.their_state is h11.DONE
+        if whole and not connection.lost and not connection.has_input():
             http.start_next_cycle()
             self._idle.append((connection, asyncio.get_running_loop().time()))
         else:
@@ -63,11 +79,13 @@
     def discard(self, connection: HttpConnection) -> None:
         """Break a connection; it is never used again."""
         self._open.discard(connection)
+        self._kept_alive_by_connection.pop(connection, None)
         connection.abort()
 
     def close_idle(self) -> None:
         """Close the idle connections."""
         for connection, _ in self._idle:
             self._open.discard(connection)
+            self._kept_alive_by_connection.pop(connection, None)
             connection.close()
         self._idle.clear()
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -11,18 +11,21 @@
 from typing import NamedTuple
 
 import h11
-import msgspec
 
-from hornbeamgw.core import balancing, retrying
+from hornbeamgw.core import balancing, retry_budget, retrying, split
 from hornbeamgw.core.balancing import Candidate, Load, Policy
+from hornbeamgw.core.dialect import Dialect
 from hornbeamgw.core.membership import Member
+from hornbeamgw.core.retry_budget import BudgetState
 from hornbeamgw.core.snapshot import Route, Snapshot, match
+from hornbeamgw.core.split import SplitState
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames, heads
 from hornbeamgw.daemon.attempts import Attempt, CallerGone, Expired, LinkGone, Links
+from hornbeamgw.daemon.failures import send_failure
 from hornbeamgw.daemon.histograms import Histograms
-from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end, header
-from hornbeamgw.daemon.http_server import BadRequest, send_response
+from hornbeamgw.daemon.http1 import ConnectionLost, Headers, HttpConnection, end_to_end, header
+from hornbeamgw.daemon.http_server import BadRequest
 from hornbeamgw.daemon.link import LinkLost
 
 log = logging.getLogger(__name__)
@@ -32,15 +35,9 @@
 NOT_READY_RETRY_MS = 1000
 NO_ENDPOINT_RETRY_MS = 200
 MAX_RETRY_BUDGET = 10
-
-_STATUS_BY_REASON = {
-    Reason.NO_ROUTE: 404,
-    Reason.BAD_REQUEST: 400,
-    Reason.DEADLINE: 504,
-    Reason.BACKEND_BROKE: 502,
-    Reason.LINK_LOST: 502,
-}
-_DEFAULT_STATUS = 503
+# A refusal by a daemon beside a backend server costs nothing there, so others may be asked;
+# three ask every server of a service of today's sizes that is worth asking.
+MAX_REFUSALS = 3
 
 
 class View(NamedTuple):
@@ -53,14 +50,30 @@
     generation: int
 
 
+class Identity(NamedTuple):
+    """Hold how requests are worded here, and the service in whose name they are passed on."""
+
+    dialect: Dialect
+    caller_service: str
+
+
 class _Call:
     """Hold one call of a caller."""
 
     def __init__(
-        self, call_id: str, route: Route, head: heads.RequestHead, deadline: float, budget: int
+        self,
+        call_id: str,
+        route: Route,
+        service: str,
+        head: heads.RequestHead,
+        deadline: float,
+        budget: int,
     ) -> None:
         self.call_id = call_id
         self.route = route
+        self.service = service
+        self.arrivals = 0
+        self.refusals = 0
         self.head = head
         self.deadline = deadline
         self.budget = budget
@@ -83,8 +96,14 @@
         policy: Policy,
         replay_limit: int,
         rng: random.Random,
+        identity: Identity,
+        budget: BudgetState,
     ) -> None:
         """Take the view to decide on, the links to other daemons and the balancing policy."""
+        self._identity = identity
+        self._dialect = identity.dialect
+        self._budget = budget
+        self._splits = SplitState()
         self.counts: Counter[str] = Counter()
         self.histograms = Histograms()
         self.draining = False
@@ -102,8 +121,10 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         view = self._view()
-        call_id = _call_id(request)
+        call_id = _call_id(request, self._dialect.call_id)
         found = self._open(view, request, call_id, started)
+        if isinstance(found, _Call):
+            retry_budget.note_request(self._budget, found.service, started)
         if isinstance(found, Failure):
             self._count(found, None, call_id)
             self._fail(connection, found, call_id)
@@ -140,13 +161,20 @@
         route = match(view.snapshot, host, method, target)
         if route is None:
             return not_run(Reason.NO_ROUTE, f"{method} {host}{target.partition('?')[0]}")
-        allowed = _number(request, heads.DEADLINE_MS, route.deadline_ms)
-        budget = _number(request, heads.RETRY_BUDGET, retrying.DEFAULT_BUDGET)
+        allowed = _number(request, self._dialect.deadline_ms, route.deadline_ms)
+        budget = _number(request, self._dialect.retry_budget, retrying.DEFAULT_BUDGET)
         deadline = now + min(allowed, route.deadline_ms) / 1000
-        kept = [h for h in end_to_end(request.headers) if h[0] not in heads.OWN_HEADERS]
-        kept = [h for h in kept if h[0] != b"expect"]
-        head = heads.RequestHead(request.method, request.target, kept)
-        return _Call(call_id, route, head, deadline, min(budget, MAX_RETRY_BUDGET))
+        service = split.choose(self._splits, route, self._rng)
+        head = heads.RequestHead(request.method, request.target, self._passed_on(request))
+        return _Call(call_id, route, service, head, deadline, min(budget, MAX_RETRY_BUDGET))
+
+    def _passed_on(self, request: h11.Request) -> Headers:
+        replaced = self._dialect.set_by_daemons | {self._dialect.call_id, b"expect"}
+        kept = [h for h in end_to_end(request.headers) if h[0] not in replaced]
+        if self._dialect.caller_service:
+            service = self._identity.caller_service.encode()
+            kept.append((self._dialect.caller_service, service))
+        return kept
 
     async def _read_body(self, connection: HttpConnection, call: _Call) -> None:
         chunks: list[bytes] = []
@@ -186,17 +214,11 @@
             if call.caller_gone or call.started_stream:
                 return failure
             now = loop.time()
-            retry = retrying.after(
-                failure,
-                call.route.idempotent,
-                len(call.tried) or 1,
-                call.budget,
-                call.deadline - now,
-                self._rng,
-            )
+            call.arrivals += failure.reached_server
+            call.refusals += not failure.reached_server
+            retry = self._retry(call, failure, now)
             if retry is None:
                 return failure
-            call.budget -= 1
             self.counts["retries"] += 1
             log.debug(
                 "retry", extra={"call_id": call.call_id, "failure": failure, "delay": retry.delay}
@@ -204,6 +226,26 @@
             await asyncio.sleep(retry.delay)
             view = self._view()._replace(snapshot=view.snapshot)
 
+    def _retry(self, call: _Call, failure: Failure, now: float) -> retrying.Retry | None:
+        """Return a retry where the call, the route and the fleet's budget allow one."""
+        if call.refusals >= MAX_REFUSALS or call.arrivals >= call.route.attempts:
+            return None
+        remaining = call.deadline - now
+        retry = retrying.after(
+            failure,
+            call.route.idempotent,
+            len(call.tried) or 1,
+            call.budget - call.arrivals + 1,
+            remaining,
+            self._rng,
+        )
+        if retry is None or not call.arrivals:
+            return retry
+        if not retry_budget.take_repeat(self._budget, call.service, now):
+            self.counts["retries_over_budget"] += 1
+            return None
+        return retry
+
     def _candidates(self, view: View, service: str, now: float) -> list[Candidate]:
         if view.generation != self._serving_at:
             self._serving_at = view.generation
@@ -221,10 +263,10 @@
     async def _attempt(self, connection: HttpConnection, call: _Call, view: View) -> Failure | None:
         loop = asyncio.get_running_loop()
         now = loop.time()
-        candidates = self._candidates(view, call.route.service, now)
+        candidates = self._candidates(view, call.service, now)
         chosen = balancing.choose(view.me, candidates, call.tried, self._policy, now, self._rng)
         if chosen is None:
-            detail = f"no backend server of {call.route.service} is known"
+            detail = f"no backend server of {call.service} is known"
             return not_run(Reason.NO_BACKEND, detail, NO_ENDPOINT_RETRY_MS)
         address = chosen.member.address
         call.tried.append(address)
@@ -251,7 +293,7 @@
         frame = frames.Call(
             attempt.number,
             call.call_id,
-            call.route.service,
+            call.service,
             call.route.entry.name,
             call.route.idempotent,
             max(1, round((remaining - margin) * 1000)),
@@ -357,37 +399,21 @@
         )
 
     def _fail(self, connection: HttpConnection, failure: Failure, call_id: str) -> None:
-        status = _STATUS_BY_REASON.get(failure.reason, _DEFAULT_STATUS)
-        headers = [
-            (b"content-type", b"application/json"),
-            (heads.VERDICT, failure.verdict.encode()),
-            (heads.REASON, failure.reason.encode()),
-            (heads.CALL_ID, call_id.encode()),
-        ]
-        if failure.retry_after_ms:
-            seconds = -(-failure.retry_after_ms // 1000)
-            headers.append((b"retry-after", str(seconds).encode()))
-            headers.append((heads.RETRY_AFTER_MS, str(failure.retry_after_ms).encode()))
-        body = msgspec.json.encode(
-            {
-                "verdict": failure.verdict,
-                "reason": failure.reason,
-                "detail": failure.detail,
-                "call_id": call_id,
-            }
-        )
-        unread = connection.http.their_state is h11.SEND_BODY
-        send_response(connection, status, headers, body, close=unread or self.draining)
+        send_failure(connection, failure, call_id, self._dialect, self.draining)
 
 
-def _call_id(request: h11.Request) -> str:
-    given = header(request.headers, heads.CALL_ID)
+def _call_id(request: h11.Request, name: bytes) -> str:
+    given = header(request.headers, name)
     return given.decode("latin-1")[:64] if given else uuid.uuid4().hex[:16]
 
 
 def _number(request: h11.Request, name: bytes, default: int) -> int:
-    given = header(request.headers, name)
-    return int(given) if given is not None and given.isdigit() else default
+    given = header(request.headers, name) if name else None
+    if given is None:
+        return default
+    if not given.isdigit():
+        raise BadRequest(400, f"{name.decode()}: got {given!r}, expected a whole number")
+    return int(given)
 
 
 def _answer_expect(connection: HttpConnection) -> None:
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -112,6 +112,7 @@
     refusal.detail = f.failure.detail
     refusal.retryAfterMs = f.failure.retry_after_ms
     refusal.freeSlots = f.free_slots
+    refusal.reachedServer = f.failure.reached_server
 
 
 def _write_credit(out: Any, f: frames.Credit) -> None:
@@ -202,7 +203,7 @@
 
 def _read_refusal(r: Any) -> frames.Refusal:
     verdict = Verdict.MAY_HAVE_RUN if r.mayHaveRun else Verdict.NOT_RUN
-    failure = Failure(verdict, Reason(r.reason), r.detail, r.retryAfterMs)
+    failure = Failure(verdict, Reason(r.reason), r.detail, r.retryAfterMs, r.reachedServer)
     return frames.Refusal(r.attempt, failure, r.freeSlots)
 
 
@@ -248,7 +249,7 @@
 def _write_push(out: Any, push: Push) -> None:
     raw = out.init("push")
     raw.version, raw.scope, raw.low, raw.high = push.version, int(push.scope), push.low, push.high
-    raw.delta = push.delta
+    raw.delta, raw.parent = push.delta, push.parent
 
 
 def _write_message(out: Any, message: Message) -> None:
@@ -290,7 +291,8 @@
         return Indirect(raw.indirect.nonce, raw.indirect.target)
     if kind == "push":
         push = raw.push
-        return Push(push.version, Scope(push.scope), push.low, push.high, push.delta)
+        scope = Scope(push.scope)
+        return Push(push.version, scope, push.low, push.high, push.delta, push.parent)
     return Have()
 
 
--- a/hornbeamgw/daemon/committer.py
+++ b/hornbeamgw/daemon/committer.py
@@ -17,6 +17,7 @@
 from hornbeamgw.core.versions import Origin, Path
 from hornbeamgw.daemon.control import Control
 from hornbeamgw.daemon.reader import Reader
+from hornbeamgw.daemon.sources import of_commit
 
 log = logging.getLogger(__name__)
 
@@ -49,7 +50,10 @@
         """Take the platform to write and the control that spreads what was accepted."""
         self._control = control
         self._reader = reader
-        self._platform = platform
+        if platform.table is None or platform.objects is None:
+            raise ValueError("a committer needs a platform with a table and objects")
+        self._table = platform.table
+        self._objects = platform.objects
         self._rng = rng
 
     async def commit(self, wanted: Edit) -> Outcome:
@@ -76,9 +80,9 @@
         return Unsure(detail or "the head kept moving")
 
     async def _try_once(self, wanted: Edit) -> Outcome | None:
-        row = await self._platform.table.read(commit.HEAD_KEY)
+        row = await self._table.read(commit.HEAD_KEY)
         head = commit.decode_head(row.value if row else None)
-        if await self._reader.catch_up(head):
+        if await self._reader.catch_up(of_commit(head)):
             self._control.push()
         earlier = self._find(wanted["edit_id"])
         if earlier is not None:
@@ -102,9 +106,9 @@
         if with_snapshot:
             extended = edit.extend(self._control.versions.catalogue, delta)
             blob = versions.encode_catalogue(extended.unwrap())
-            await self._platform.objects.put(commit.snapshot_name(delta["digest"]), blob)
+            await self._objects.put(commit.snapshot_name(delta["digest"]), blob)
         plan = commit.plan(head, etag, delta, with_snapshot)
-        return await self._platform.table.transact(plan.writes)
+        return await self._table.transact(plan.writes)
 
     def _find(self, edit_id: str) -> Delta | None:
         blobs = self._control.versions.deltas_by_version.values()
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -6,7 +6,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any
 
 from hornbeamgw.core import membership, node, versions
@@ -199,6 +199,12 @@
         self._carry(effects)
         return advanced
 
+    def learn_whole(self, version: int, bodies: Mapping[str, Any], origin: Origin) -> bool:
+        """Take a whole version of an outside source and return whether it was new."""
+        advanced, effects = node.learn_whole(self.node, version, bodies, origin, _moment())
+        self._carry(effects)
+        return advanced
+
     def set_floor(self, floor: int, why: str) -> None:
         """Record the floor, and apply what is known where it is high enough."""
         log.info("floor is sure", extra={"floor": floor, "why": why})
@@ -267,6 +273,14 @@
     async def _reconcile_once(self, address: str) -> None:
         await self.reconcile(address)
 
+    def meet(self, member: Member) -> None:
+        """Take the record of a daemon that was found, as one that has yet to answer."""
+        membership.merge(self.view, [member], _moment().now, tell=False)
+
+    def announce_everywhere(self) -> None:
+        """Tell every daemon known that this one has joined."""
+        self._carry(node.announce(self.node, everywhere=True))
+
     def announce(self) -> None:
         """Tell the data centre that this daemon has joined."""
         self._carry(node.announce(self.node))
--- /dev/null
+++ b/hornbeamgw/daemon/failures.py
@@ -0,0 +1,57 @@
+"""Failures: what a caller is told of a call that has no answer."""
+
+from __future__ import annotations
+
+import h11
+import msgspec
+
+from hornbeamgw.core.dialect import Dialect
+from hornbeamgw.core.verdict import Failure, Reason, Verdict
+from hornbeamgw.daemon import heads
+from hornbeamgw.daemon.http1 import Headers, HttpConnection
+from hornbeamgw.daemon.http_server import send_response
+
+# Statuses of a call that did not run; all others promise the same by 503.
+_STATUS_BY_REASON = {Reason.NO_ROUTE: 404, Reason.BAD_REQUEST: 400}
+_NOT_RUN_STATUS = 503
+_DEADLINE_STATUS = 504
+_MAY_HAVE_RUN_STATUS = 502
+
+
+def status_of(failure: Failure) -> int:
+    """Return the status code for a failure; only one that did not run may promise that."""
+    if failure.verdict is Verdict.NOT_RUN:
+        return _STATUS_BY_REASON.get(failure.reason, _NOT_RUN_STATUS)
+    if failure.reason is Reason.DEADLINE:
+        return _DEADLINE_STATUS
+    return _MAY_HAVE_RUN_STATUS
+
+
+def _retry_after(failure: Failure, dialect: Dialect) -> bytes:
+    if dialect.fractional_retry_after:
+        return f"{failure.retry_after_ms / 1000:.3f}".encode()
+    return str(-(-failure.retry_after_ms // 1000)).encode()
+
+
+def send_failure(
+    connection: HttpConnection, failure: Failure, call_id: str, dialect: Dialect, close: bool
+) -> None:
+    """Send a failure with its verdict, reason and time to come back; raise ConnectionLost."""
+    headers: Headers = [
+        (b"content-type", b"application/json"),
+        (heads.VERDICT, failure.verdict.encode()),
+        (heads.REASON, failure.reason.encode()),
+        (heads.CALL_ID, call_id.encode()),
+    ]
+    if failure.retry_after_ms:
+        headers.append((b"retry-after", _retry_after(failure, dialect)))
+        headers.append((heads.RETRY_AFTER_MS, str(failure.retry_after_ms).encode()))
+    document = {
+        "verdict": failure.verdict,
+        "reason": failure.reason,
+        "detail": failure.detail,
+        "call_id": call_id,
+    }
+    unread = connection.http.their_state is h11.SEND_BODY
+    body = msgspec.json.encode(document)
+    send_response(connection, status_of(failure), headers, body, close=unread or close)
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -14,6 +14,7 @@
 
 from hornbeamgw.core import admission
 from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
+from hornbeamgw.core.dialect import HORNBEAMGW, Answer, Dialect, belongs_to, says_not_run, spoilt
 from hornbeamgw.core.membership import ServerState
 from hornbeamgw.core.snapshot import Limits, Snapshot
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
@@ -37,6 +38,13 @@
     connections: int
     state: ServerState
     expires_at: float
+    instance: str = ""
+    warm_at: float = 0.0
+
+
+def _is_renewal(before: Announcement, after: Announcement) -> bool:
+    """Return whether an announcement says nothing new about the server."""
+    return before == after._replace(expires_at=before.expires_at, warm_at=before.warm_at)
 
 
 class _Attempt:
@@ -50,16 +58,22 @@
         self.window = Window(WINDOW)
         self.task: asyncio.Task[Failure | None] | None = None
         self.replied = False
+        self.deadline = 0.0
 
 
 class Gate:
     """Own the admission state and the connections to the backend server."""
 
     def __init__(
-        self, snapshot: Callable[[], Snapshot], on_server_change: Callable[[], None]
+        self,
+        snapshot: Callable[[], Snapshot],
+        on_server_change: Callable[[], None],
+        dialect: Dialect = HORNBEAMGW,
     ) -> None:
         """Take the snapshot in force and what to call when the server's state changes."""
         self.state = AdmissionState()
+        self.dialect = dialect
+        self.on_replaced: Callable[[str], None] = lambda instance: None
         self.pool = BackendPool()
         self.announcement: Announcement | None = None
         self.counts: Counter[str] = Counter()
@@ -68,14 +82,16 @@
         self._snapshot = snapshot
         self._on_server_change = on_server_change
         self._attempts: dict[AttemptId, _Attempt] = {}
+        self._stopping = False
         self._reserved_for: tuple[Snapshot, str] | None = None
 
     def announce(self, announcement: Announcement) -> None:
         """Take or renew what the backend server says of itself."""
-        draining = self.state.server_state is ServerState.DRAINING
+        before = self.announcement
+        same = before is None or before.instance == announcement.instance
+        draining = self._stopping or (same and self.state.server_state is ServerState.DRAINING)
         if draining and announcement.state is not ServerState.DRAINING:
             announcement = announcement._replace(state=ServerState.DRAINING)
-        before = self.announcement
         self.announcement = announcement
         self.state.service = announcement.service
         self.state.slots = announcement.slots
@@ -83,7 +99,7 @@
         if announcement.state is ServerState.DRAINING and not draining:
             self.drain("announced by the backend server")
         self.state.server_state = announcement.state
-        if before is None or before[:1] + before[2:5] != announcement[:1] + announcement[2:5]:
+        if before is None or not _is_renewal(before, announcement):
             log.info("backend server announced", extra={"announcement": announcement._asdict()})
             self._on_server_change()
 
@@ -101,6 +117,11 @@
         self.pool.close_idle()
         self._on_server_change()
 
+    def stop(self) -> None:
+        """Drain for good, as the daemon stops."""
+        self._stopping = True
+        self.drain("the daemon stops")
+
     def drain(self, why: str) -> None:
         """Take no new work from now on; what runs goes on to its end."""
         now = asyncio.get_running_loop().time()
@@ -161,7 +182,7 @@
             route.entry.name: route.entry.limits.reserved
             for routes in snapshot.routes_by_host.values()
             for route in routes
-            if route.service == service and route.entry.limits.reserved
+            if route.entry.limits.reserved and any(part.service == service for part in route.parts)
         }
 
     def _on_call(self, link: Link, call: frames.Call) -> None:
@@ -199,7 +220,7 @@
         self.counts["cancelled"] += 1
         if admission.withdraw(self.state, attempt.id, now):
             self._forget(attempt)
-        elif attempt.task is not None:
+        elif attempt.task is not None and attempt.call.idempotent:
             attempt.task.cancel()
 
     def _act(self, decisions: list[Decision]) -> None:
@@ -226,6 +247,7 @@
     def _start(self, attempt: _Attempt, deadline: float) -> None:
         self.counts["admitted"] += 1
         started = asyncio.get_running_loop().time()
+        attempt.deadline = deadline
         attempt.task = asyncio.create_task(self._run(attempt, deadline))
         attempt.task.add_done_callback(lambda task: self._finish(attempt, started, task))
 
@@ -259,15 +281,16 @@
         call = attempt.call
         try:
             connection = await self.pool.acquire(call.idempotent)
-        except OSError as error:
-            return not_run(Reason.BACKEND_UNREACHABLE, str(error), RETRY_AFTER_NOT_READY_MS)
+        except (OSError, TimeoutError) as error:
+            detail = str(error) or type(error).__name__
+            return not_run(Reason.BACKEND_UNREACHABLE, detail, RETRY_AFTER_NOT_READY_MS)
         pump: asyncio.Task[None] | None = None
         try:
-            self._send_request(connection, call)
+            sent = self._send_request(connection, call, attempt.deadline)
             if not call.end:
                 attempt.link.send(frames.Credit(call.attempt, WINDOW))
                 pump = asyncio.create_task(_pump_body(attempt, connection))
-            await self._relay_reply(attempt, connection)
+            return await self._relay_reply(attempt, connection, sent)
         except (ConnectionLost, h11.ProtocolError, msgspec.MsgspecError) as error:
             detail = str(error) or "the backend server closed the connection"
             return may_have_run(Reason.BACKEND_BROKE, detail)
@@ -277,16 +300,20 @@
                 with contextlib.suppress(asyncio.CancelledError, ConnectionLost, h11.ProtocolError):
                     await pump
             self.pool.release(connection)
-        return None
 
-    def _send_request(self, connection: HttpConnection, call: frames.Call) -> None:
+    def _send_request(
+        self, connection: HttpConnection, call: frames.Call, deadline: float
+    ) -> list[h11.Event]:
         head = heads.decode_request(call.head)
-        headers = [
-            *head.headers,
-            (heads.CALL_ID, call.call_id.encode()),
-            (heads.DEADLINE_MS, str(call.deadline_ms).encode()),
-            (heads.RETRY_BUDGET, str(call.retry_budget).encode()),
+        left_ms = max(1, round((deadline - asyncio.get_running_loop().time()) * 1000))
+        instance = self.announcement.instance if self.announcement is not None else ""
+        named = [
+            (self.dialect.call_id, call.call_id.encode()),
+            (self.dialect.deadline_ms, str(left_ms).encode()),
+            (self.dialect.retry_budget, str(call.retry_budget).encode()),
+            (self.dialect.expected_instance, instance.encode()),
         ]
+        headers = [*head.headers, *((name, value) for name, value in named if name and value)]
         if header(headers, b"content-length") is None and (call.body or not call.end):
             headers.append((b"transfer-encoding", b"chunked"))
         events: list[h11.Event] = [
@@ -297,14 +324,54 @@
         if call.end:
             events.append(h11.EndOfMessage())
         connection.send(*events)
-
-    async def _relay_reply(self, attempt: _Attempt, connection: HttpConnection) -> None:
-        event = await connection.next_event()
-        while isinstance(event, h11.InformationalResponse):
+        attempt_bytes = events if call.end else []
+        return attempt_bytes
+
+    async def _next_head(
+        self, attempt: _Attempt, connection: HttpConnection, sent: list[h11.Event]
+    ) -> h11.Response:
+        """Return the head of the answer to this request, past any that belongs to another."""
+        call_id = attempt.call.call_id.encode()
+        while True:
             event = await connection.next_event()
-        if not isinstance(event, h11.Response):
-            raise ConnectionLost
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise ConnectionLost
+            if belongs_to(self.dialect, Answer(event.status_code, event.headers), call_id):
+                return event
+            self.counts["foreign_answers"] += 1
+            log.warning("answer to another request", extra={"call_id": attempt.call.call_id})
+            while not isinstance(event, h11.EndOfMessage):
+                event = await connection.next_event()
+                if isinstance(event, h11.ConnectionClosed):
+                    raise ConnectionLost
+            if not sent:
+                raise ConnectionLost
+            connection.expect_again(*sent)
+
+    def _judge(self, attempt: _Attempt, head: h11.Response) -> Failure | None:
+        """Return a failure where an answer is none, or says that the request did not run."""
+        answer = Answer(head.status_code, head.headers)
+        if says_not_run(self.dialect, answer):
+            other = self.dialect.other_instance_status
+            if head.status_code == other and self.announcement is not None:
+                self.on_replaced(self.announcement.instance)
+            detail = f"status {head.status_code}"
+            failure = not_run(Reason.BACKEND_REFUSED, detail, RETRY_AFTER_NOT_READY_MS)
+            return failure._replace(reached_server=True)
+        why = spoilt(self.dialect, answer, attempt.call.call_id.encode())
+        return may_have_run(Reason.BACKEND_BROKE, why) if why else None
+
+    async def _relay_reply(
+        self, attempt: _Attempt, connection: HttpConnection, sent: list[h11.Event]
+    ) -> Failure | None:
+        event = await self._next_head(attempt, connection, sent)
+        self.pool.note_keep_alive(connection, header(event.headers, b"keep-alive"))
+        failure = self._judge(attempt, event)
         body, end = _take_arrived(connection)
+        if failure is not None:
+            return failure
         reply = frames.Reply(
             attempt.call.attempt,
             event.status_code,
@@ -320,6 +387,7 @@
             body, end = await _next_part(connection)
             await attempt.window.take(len(body))
             attempt.link.send(frames.Body(attempt.call.attempt, body, end))
+        return None
 
 
 def _take_arrived(connection: HttpConnection) -> tuple[bytes, bool]:
--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from http import HTTPStatus
 from typing import NamedTuple, cast
 
 import h11
@@ -26,6 +27,8 @@
     }
 )
 
+PHRASES_BY_STATUS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
 Headers = list[tuple[bytes, bytes]]
 Event = h11.Event | type[h11.PAUSED]
 
@@ -125,6 +128,17 @@
         self._waiter = asyncio.get_running_loop().create_future()
         await self._waiter
 
+    def expect_again(self, *sent: h11.Event) -> None:
+        """Take what follows an answer as the one to the request that was sent last."""
+        rest, closed = self.http.trailing_data
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
+        for event in sent:
+            self.http.send(event)
+        if rest:
+            self.http.receive_data(rest)
+        if closed:
+            self.http.receive_data(b"")
+
     def has_input(self) -> bool:
         """Return whether bytes of an unfinished message have arrived."""
         return bool(self.http.trailing_data[0])
@@ -133,7 +147,7 @@
         """Write events in one go; raise ConnectionLost."""
         if self.lost or self.transport is None or self.transport.is_closing():
             raise ConnectionLost
-        self.transport.write(b"".join(self.http.send(event) or b"" for event in events))
+        self.transport.write(b"".join(self.http.send(_with_phrase(e)) or b"" for e in events))
 
     async def drain(self) -> None:
         """Wait until the other side takes more; raise ConnectionLost."""
@@ -153,6 +167,13 @@
             self.transport.abort()
 
 
+def _with_phrase(event: h11.Event) -> h11.Event:
+    if isinstance(event, h11.Response) and not event.reason:
+        phrase = PHRASES_BY_STATUS.get(event.status_code, b"")
+        return h11.Response(status_code=event.status_code, headers=event.headers, reason=phrase)
+    return event
+
+
 async def dial(address: str) -> HttpConnection:
     """Open a client connection; raise OSError."""
     host, port = split_address(address)
@@ -220,10 +241,15 @@
         self._idle: list[HttpConnection] = []
 
     async def request(
-        self, method: str, target: str, headers: Headers | None = None, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        timeout: float | None = None,
     ) -> Response:
         """Return the answer; raise OSError, TimeoutError, ConnectionLost or a protocol error."""
-        async with asyncio.timeout(self.timeout):
+        async with asyncio.timeout(self.timeout if timeout is None else timeout):
             connection = await self._connection()
             try:
                 wanted = list(headers or [])
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -9,28 +9,45 @@
 import signal
 import socket
 import time
+from typing import TYPE_CHECKING
 
+import h11
 import msgspec
 
-from hornbeamgw.backends import factories_by_name
-from hornbeamgw.core import balancing, membership, versions
+from hornbeamgw.backends import Platform, factories_by_name
+from hornbeamgw.core import balancing, membership, retry_budget, versions
+from hornbeamgw.core.dialect import dialects_by_name
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.options import Settings, split_address
+from hornbeamgw.core.retry_budget import Bound, BudgetState
 from hornbeamgw.core.snapshot import Snapshot
-from hornbeamgw.daemon import logs, loop
+from hornbeamgw.daemon import logs, loop, plugins, sources
 from hornbeamgw.daemon.admin import Admin
+from hornbeamgw.daemon.announcements import Announcements, decoders_by_name
 from hornbeamgw.daemon.attempts import Links
-from hornbeamgw.daemon.calls import Calls, View
+from hornbeamgw.daemon.calls import Calls, Identity, View
 from hornbeamgw.daemon.committer import Committer
 from hornbeamgw.daemon.control import Control
+from hornbeamgw.daemon.directory import Directory
 from hornbeamgw.daemon.gate import Gate
-from hornbeamgw.daemon.http_server import HttpServer, Timeouts
-from hornbeamgw.daemon.metrics import REPORT_EVERY_S, Metrics
+from hornbeamgw.daemon.http1 import HttpConnection
+from hornbeamgw.daemon.http_server import (
+    ADMIN_BODY_LIMIT,
+    HttpServer,
+    Timeouts,
+    json_response,
+    read_body,
+)
 from hornbeamgw.daemon.peers import PeerServer
 from hornbeamgw.daemon.reader import Reader
 
 log = logging.getLogger(__name__)
 
+if TYPE_CHECKING:
+    # Loaded by a daemon only where settings name a statsd server: it costs memory in each.
+    from hornbeamgw.daemon.metrics import Metrics as StatsdReport
+
+REPORT_EVERY_S = 5.0
 CHECK_EVERY_S = 0.25
 GRACE_AFTER_DRAIN_S = 0.2
 PORT_TRIES = 20
@@ -55,18 +72,28 @@
         )
         timeouts = Timeouts(settings.calls_header_timeout, settings.calls_idle_timeout)
         self.settings = settings
+        dialect = dialects_by_name[settings.calls_dialect]
         self.control = Control(settings, me, rng)
-        self.reader = Reader(self.control, platform, settings.platform_poll, rng)
-        self.committer = Committer(self.control, self.reader, platform, rng)
-        self.gate = Gate(self._snapshot, self._on_server_change)
+        source = sources.factories_by_name[settings.source](
+            self.control, platform, settings.platform_poll, rng, settings.platform_adapter
+        )
+        directory = _directory(settings, self.control, platform, rng)
+        self.reader = Reader(self.control, source, rng, directory)
+        self.committer = _committer(self.control, self.reader, platform, rng)
+        self.gate = Gate(self._snapshot, self._on_server_change, dialect)
         self.links = Links(lambda: self.control.hello, self.control.fault)
         policy = balancing.policies_by_name[settings.calls_balancing]
         replay_limit = round(settings.calls_replay_limit)
-        self.calls = Calls(self._view, self.links, policy, replay_limit, rng)
+        identity = Identity(dialect, settings.server_service)
+        bound = Bound(settings.budget_ratio, settings.budget_slack, settings.budget_window)
+        self.budget = BudgetState(bound)
+        self.calls = Calls(self._view, self.links, policy, replay_limit, rng, identity, self.budget)
         self.peers = PeerServer(self.control, self.reader, self.gate)
         self.callers = HttpServer(self.calls.on_request, timeouts)
         admin = Admin(self.control, self.reader, self.committer, self.gate, self.calls)
         self.admin = HttpServer(admin.on_request, timeouts)
+        self.ready = HttpServer(self._on_ready_request, timeouts)
+        self.announcements = _announcements(settings, self.gate, timeouts)
         self._stop_signals = 0
         self._stop = asyncio.Event()
         self._cut = asyncio.Event()
@@ -100,6 +127,10 @@
         await self.control.start(address)
         admin = await self.admin.start(self.settings.admin)
         callers = await self.callers.start(self.settings.callers)
+        if self.settings.ready:
+            await self.ready.start(self.settings.ready)
+        if self.announcements is not None:
+            await self.announcements.start(self.settings.announcements)
         now = asyncio.get_running_loop().time()
         membership.update_me(self.control.view, now, admin=admin)
         self.control.spawn(self.reader.join_loop())
@@ -107,17 +138,27 @@
         self.control.spawn(self.reader.poll_loop())
         self.control.spawn(self._check_loop())
         if self.settings.statsd:
+            from hornbeamgw.daemon.metrics import Metrics
+
             self.control.spawn(self._report_loop(Metrics(self.settings.statsd)))
         return {"address": address, "admin": admin, "callers": callers}
 
+    async def _on_ready_request(self, connection: HttpConnection, request: h11.Request) -> None:
+        """Say whether callers may be sent here: with a version in force, and not stopping."""
+        await read_body(connection, ADMIN_BODY_LIMIT)
+        ready = versions.is_ready(self.control.versions) and not self.calls.draining
+        version = self.control.versions.snapshot.version
+        json_response(connection, 200 if ready else 503, {"ready": ready, "version": version})
+
     async def _check_loop(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(CHECK_EVERY_S)
             self.links.check(loop.time())
             self.gate.expire(loop.time())
+            retry_budget.note_members(self.budget, len(membership.reachable(self.control.view)))
 
-    async def _report_loop(self, metrics: Metrics) -> None:
+    async def _report_loop(self, metrics: StatsdReport) -> None:
         while True:
             await asyncio.sleep(REPORT_EVERY_S)
             meter = self.control.meter
@@ -140,8 +181,12 @@
     async def run(self) -> int:
         """Run until told to stop, then drain; return the exit code."""
         await self._stop.wait()
+        log.info("daemon stops", extra={"grace": self.settings.calls_leave_after})
         self.calls.draining = True
-        self.gate.drain("the daemon stops")
+        if self.settings.calls_leave_after:
+            wait = asyncio.create_task(self._cut.wait())
+            await asyncio.wait([wait], timeout=self.settings.calls_leave_after)
+        self.gate.stop()
         drained = asyncio.create_task(self._wait_until_idle())
         cut = asyncio.create_task(self._cut.wait())
         limit = self.settings.calls_drain_limit
@@ -174,6 +219,32 @@
         self.control.stop()
 
 
+def _directory(
+    settings: Settings, control: Control, platform: Platform, rng: random.Random
+) -> Directory | None:
+    if not settings.directory:
+        return None
+    if platform.rows is None:
+        raise ValueError(f"platform.adapter {settings.platform_adapter!r}: expected one with rows")
+    return Directory(control, platform.rows, rng)
+
+
+def _committer(
+    control: Control, reader: Reader, platform: Platform, rng: random.Random
+) -> Committer | None:
+    if platform.table is None:
+        return None
+    return Committer(control, reader, platform, rng)
+
+
+def _announcements(settings: Settings, gate: Gate, timeouts: Timeouts) -> HttpServer | None:
+    if not settings.announcements:
+        return None
+    decode = decoders_by_name[settings.platform_adapter]
+    taker = Announcements(gate, decode, settings.server_connections, settings.server_announce_ttl)
+    return HttpServer(taker.on_request, timeouts)
+
+
 def _claim_port(address: str) -> str:
     """Return an address whose port is free for TCP and UDP alike; port 0 asks the kernel."""
     host, port = split_address(address)
@@ -209,4 +280,5 @@
 def run(settings: Settings, print_addresses: bool = False) -> int:
     """Run a daemon to its end and return the exit code."""
     logs.set_up(settings.log_level, data_centre=settings.data_centre)
+    plugins.load(settings.plugins_folder, settings.plugins_modules)
     return loop.run(_serve(settings, print_addresses))
--- a/hornbeamgw/daemon/metrics.py
+++ b/hornbeamgw/daemon/metrics.py
@@ -10,7 +10,6 @@
 from hornbeamgw.core.options import split_address
 
 PREFIX = "hornbeamgw"
-REPORT_EVERY_S = 5.0
 
 
 class Metrics:
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -7,31 +7,29 @@
 import random
 from typing import Any
 
-import msgspec
-
-from hornbeamgw.backends.base import Platform, PlatformError
-from hornbeamgw.core import commit, floor, membership, versions
-from hornbeamgw.core.commit import Head
+from hornbeamgw.backends.base import PlatformError
+from hornbeamgw.core import floor, membership, versions
 from hornbeamgw.core.floor import FloorAnswer
 from hornbeamgw.core.membership import Member, Status
 from hornbeamgw.core.rendezvous import READERS_PER_DATA_CENTRE, is_reader, top
-from hornbeamgw.core.versions import Origin, Path
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.control import Control
+from hornbeamgw.daemon.directory import Directory
 from hornbeamgw.daemon.link import LinkLost
+from hornbeamgw.daemon.sources import Source, SourceHead
 
 log = logging.getLogger(__name__)
 
 READ_SPACING_S = 0.2
-MAX_DELTA_READS = 16
+READER_CHECK_EVERY_S = 0.5
+POLL_BACKOFF_S = 0.05
+POLL_BACKOFF_MAX_S = 0.8  # a store that is back is read again well within a second
 FLOOR_BACKOFF_S = 0.25
 FLOOR_BACKOFF_MAX_S = 4.0
 OWN_READ_EVERY = 3
 RECONCILE_EVERY_S = 300.0
 JOIN_TRIES = 3
 
-PLATFORM = "platform"
-
 
 def _unready_reason(control: Control) -> str:
     state = control.versions
@@ -52,23 +50,28 @@
     """Own this daemon's reads of the platform."""
 
     def __init__(
-        self, control: Control, platform: Platform, poll: float, rng: random.Random
+        self, control: Control, source: Source, rng: random.Random, directory: Directory | None
     ) -> None:
-        """Take the control to feed and the platform to read."""
+        """Take the control to feed, the source to read and the way to join, if it isn't seeds."""
         self.waiting_for = "start"
-        self.reads = 0
         self.errors = 0
-        self.head: Head | None = None
+        self.head: SourceHead | None = None
         self._control = control
-        self._platform = platform
-        self._poll = poll
+        self._source = source
+        self._directory = directory
         self._rng = rng
-        self._next_read: asyncio.Task[Head] | None = None
+        self._is_lost = False
+        self._next_read: asyncio.Task[SourceHead] | None = None
         self._read_begun = False
         self._last_read_at = -1e9
         self._join_tried = asyncio.Event()
 
-    async def fresh_head(self) -> Head:
+    @property
+    def reads(self) -> int:
+        """Return how often the platform was read."""
+        return self._source.reads
+
+    async def fresh_head(self) -> SourceHead:
         """Return the head by a read begun after this call; raise PlatformError.
 
         Calls that wait for the same read share it, so a herd costs a few reads a second.
@@ -78,73 +81,65 @@
             self._next_read = asyncio.create_task(self._spaced_read())
         return await asyncio.shield(self._next_read)
 
-    async def _spaced_read(self) -> Head:
+    async def _spaced_read(self) -> SourceHead:
         loop = asyncio.get_running_loop()
         wait = self._last_read_at + READ_SPACING_S - loop.time()
         if wait > 0:
             await asyncio.sleep(wait)
         self._read_begun = True
         self._last_read_at = loop.time()
-        self.reads += 1
         try:
-            row = await self._platform.table.read(commit.HEAD_KEY)
+            self.head = await self._source.read_head()
         except PlatformError:
             self.errors += 1
             raise
-        try:
-            self.head = commit.decode_head(row.value if row else None)
-        except msgspec.MsgspecError as error:
-            raise PlatformError(f"undecodable head: {error}") from error
         return self.head
 
-    async def catch_up(self, head: Head) -> bool:
+    async def catch_up(self, head: SourceHead) -> bool:
         """Fetch what is missing up to a head; raise PlatformError."""
-        state = self._control.versions
-        behind = head["version"] - state.catalogue.version
-        if behind <= 0:
-            return False
-        if behind > MAX_DELTA_READS and head["snapshot_version"] > state.catalogue.version:
-            await self._fetch_snapshot(head)
-        return await self._fetch_deltas(head)
-
-    async def _fetch_snapshot(self, head: Head) -> None:
-        blob = await self._platform.objects.get(head["snapshot_name"])
-        self.reads += 1
-        if blob is not None:
-            self._control.learn_catalogue(blob, Origin(Path.SNAPSHOT, PLATFORM))
-
-    async def _fetch_deltas(self, head: Head) -> bool:
-        known = self._control.versions.catalogue.version
-        blobs = []
-        for version in range(known + 1, head["version"] + 1):
-            row = await self._platform.table.read(commit.delta_key(version))
-            self.reads += 1
-            if row is None:
-                await self._fetch_snapshot(head)
-                break
-            blobs.append(row.value)
-        return self._control.learn_deltas(blobs, Origin(Path.PLATFORM, PLATFORM))
+        return await self._source.catch_up(head)
 
     async def poll_loop(self) -> None:
-        """Poll the head while this daemon is a reader of its data centre."""
+        """Follow the source while this daemon is a reader of its data centre."""
+        failures = 0
         while True:
-            await asyncio.sleep(self._poll * self._rng.uniform(0.8, 1.2))
-            members = membership.reachable(self._control.view)
-            everyone = self._control.node.spread.everyone_reads
-            if not everyone and not is_reader(self._control.view.me, members):
+            if not self._reads_now():
+                await asyncio.sleep(self._rng.uniform(0.8, 1.2) * READER_CHECK_EVERY_S)
                 continue
             try:
-                head = await self.fresh_head()
-                if await self.catch_up(head):
+                head = await self._source.wait_change()
+                if not self._reads_now():
+                    continue
+                if await self.catch_up(head or await self.fresh_head()):
                     self._control.push()
+                failures = 0
+                self._note_reached()
             except PlatformError as error:
-                log.warning("platform read failed", extra={"error": str(error)})
+                failures += 1
+                self._note_lost(error)
+                ceiling = min(POLL_BACKOFF_MAX_S, POLL_BACKOFF_S * 2**failures)
+                await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
+
+    def _reads_now(self) -> bool:
+        members = membership.reachable(self._control.view)
+        everyone = self._control.node.spread.everyone_reads
+        return everyone or is_reader(self._control.view.me, members)
+
+    def _note_lost(self, error: PlatformError) -> None:
+        if not self._is_lost:
+            log.warning("platform lost", extra={"error": str(error)})
+        self._is_lost = True
+
+    def _note_reached(self) -> None:
+        if self._is_lost:
+            log.info("platform regained")
+        self._is_lost = False
 
     async def answer_floor(self, address: str) -> frames.Floor:
         """Return the floor for the daemon at an address, confirmed where the platform answers."""
         try:
             head = await self.fresh_head()
-            return frames.Floor(head["version"], True)
+            return frames.Floor(head.version, True)
         except PlatformError:
             return frames.Floor(self._remembered(address), False)
 
@@ -175,6 +170,11 @@
 
     async def join_loop(self) -> None:
         """Join by a seed, and compare views now and then for splits that outlive gossip."""
+        if self._directory is not None:
+            self._control.spawn(self._directory.run())
+            await self._directory.joined.wait()
+            self._join_tried.set()
+            return
         seeds = [a for a in self._control.settings.seeds if a != self._control.view.me.address]
         failures = 0
         if not seeds:
@@ -216,7 +216,7 @@
         except PlatformError as error:
             self._wait_for(f"the platform ({error})")
             return False
-        self._control.set_floor(head["version"], "read from the platform")
+        self._control.set_floor(head.version, "read from the platform")
         return True
 
     async def _floor_from_reader(self, reader: Member) -> bool:
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -64,6 +64,7 @@
   detail @3 :Text;
   retryAfterMs @4 :UInt32;
   freeSlots @5 :UInt16;
+  reachedServer @6 :Bool;
 }
 
 struct Credit {
@@ -127,4 +128,5 @@
   low @2 :Text;
   high @3 :Text;
   delta @4 :Data;
+  parent @5 :UInt64;
 }
