Admit by expected end before the objective; place by expected finish

Cause: the queue served the nearest deadline first, so past saturation most answers came after their objective, and servers were chosen by two stale samples, the nearest first. Change: service times by route, a schedule at the gate that refuses what can't be in time unless it came back, reports of free slots and wait with each answer, placement over all servers by wait, speed, likelihood of failure and bytes between data centres. Ruled out: one mean service time for all routes.

--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -7,95 +7,49 @@
 
 from __future__ import annotations
 
-import enum
-from collections import OrderedDict
-from collections.abc import Mapping
-from typing import NamedTuple
-
+from hornbeamgw.core import queueing, service_times
 from hornbeamgw.core.membership import ServerState
-from hornbeamgw.core.snapshot import Limits
-from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
+from hornbeamgw.core.slots import (
+    AdmissionState,
+    Admitted,
+    AttemptId,
+    Decided,
+    Decision,
+    Fate,
+    Queued,
+    Refused,
+    Request,
+)
+from hornbeamgw.core.verdict import Reason, Verdict, may_have_run, not_run
+
+__all__ = [
+    "AdmissionState",
+    "Admitted",
+    "AttemptId",
+    "Decision",
+    "Queued",
+    "Refused",
+    "Request",
+    "admit",
+    "drain",
+    "expected_wait",
+    "finish",
+    "free_slots",
+    "next_decisions",
+    "resolve",
+    "withdraw",
+]
 
 MEMORY_S = 60.0
 MEMORY_MAX = 100_000
 SERVICE_TIME_WEIGHT = 0.1
-FIRST_SERVICE_TIME_S = 0.005
 RETRY_AFTER_DRAIN_MS = 50
 
 
-class AttemptId(NamedTuple):
-    """Identify one attempt of one daemon process."""
-
-    member: str
-    incarnation: int
-    number: int
-
-
-class Request(NamedTuple):
-    """Hold what admission needs to know of an attempt."""
-
-    attempt: AttemptId
-    entry: str
-    limits: Limits
-    deadline: float
-
-
-class Fate(enum.StrEnum):
-    """Say what became of an attempt that was decided here."""
-
-    REFUSED = "refused"
-    RUNNING = "running"
-    FINISHED = "finished"
-    FENCED = "fenced"
-
-
-class Admitted(NamedTuple):
-    """Let a request run now."""
-
-    request: Request
-
-
-class Queued(NamedTuple):
-    """Hold a request until a slot is free."""
-
-    request: Request
-
-
-class Refused(NamedTuple):
-    """Turn a request away; it does not run by this decision."""
-
-    request: Request
-    failure: Failure
-
-
-Decision = Admitted | Queued | Refused
-
-
-class _Fate(NamedTuple):
-    fate: Fate
-    at: float
-
-
-def _was_admitted(known: _Fate) -> bool:
+def _was_admitted(known: Decided) -> bool:
     return known.fate in (Fate.RUNNING, Fate.FINISHED)
 
 
-class AdmissionState:
-    """Hold the backend server as it announced itself, and what runs and waits there."""
-
-    def __init__(self) -> None:
-        """Start without a backend server."""
-        self.service = ""
-        self.slots = 0
-        self.server_state = ServerState.NONE
-        self.running_by_attempt: dict[AttemptId, Request] = {}
-        self.running_count_by_entry: dict[str, int] = {}
-        self.queue: list[Request] = []
-        self.fates_by_attempt: OrderedDict[AttemptId, _Fate] = OrderedDict()
-        self.reserved_by_entry: Mapping[str, int] = {}
-        self.service_time = FIRST_SERVICE_TIME_S
-
-
 def free_slots(state: AdmissionState) -> int:
     """Return the slots that nothing runs or waits for."""
     if state.server_state is not ServerState.SERVING:
@@ -103,6 +57,11 @@
     return max(0, state.slots - len(state.running_by_attempt) - len(state.queue))
 
 
+def expected_wait(state: AdmissionState, now: float) -> float:
+    """Return how long (s) a request that arrives now is expected to wait for a slot."""
+    return queueing.wait_for_newcomer(state, now)
+
+
 def _held_for_others(state: AdmissionState, entry: str) -> int:
     running = state.running_count_by_entry
     return sum(
@@ -124,7 +83,7 @@
 
 def _remember(state: AdmissionState, attempt: AttemptId, fate: Fate, now: float) -> None:
     fates = state.fates_by_attempt
-    fates[attempt] = _Fate(fate, now)
+    fates[attempt] = Decided(fate, now)
     fates.move_to_end(attempt)
     while fates:
         oldest = next(iter(fates))
@@ -138,23 +97,19 @@
     _remember(state, request.attempt, Fate.REFUSED, now)
     retry_after_ms = RETRY_AFTER_DRAIN_MS
     if reason in (Reason.NO_SLOT, Reason.QUEUE_TIMEOUT):
-        retry_after_ms = max(1, round(1000 * state.service_time * (1 + len(state.queue))))
+        retry_after_ms = max(1, round(1000 * state.policy.room_after(state, request, now)))
     return Refused(request, not_run(reason, retry_after_ms=retry_after_ms))
 
 
 def _start(state: AdmissionState, request: Request, now: float) -> Admitted:
     state.running_by_attempt[request.attempt] = request
+    state.started_by_attempt[request.attempt] = now
     count = state.running_count_by_entry.get(request.entry, 0)
     state.running_count_by_entry[request.entry] = count + 1
     _remember(state, request.attempt, Fate.RUNNING, now)
     return Admitted(request)
 
 
-def _expected_wait(state: AdmissionState, request: Request) -> float:
-    ahead = sum(queued.deadline <= request.deadline for queued in state.queue)
-    return (ahead + 1) * state.service_time / max(1, state.slots)
-
-
 def admit(state: AdmissionState, request: Request, service: str, now: float) -> Decision:
     """Decide on a request that has just arrived."""
     known = state.fates_by_attempt.get(request.attempt)
@@ -169,27 +124,28 @@
         return _refuse(state, request, Reason.NO_BACKEND, now)
     if request.deadline <= now:
         return _refuse(state, request, Reason.DEADLINE, now)
-    if _has_slot(state, request):
+    if _has_slot(state, request) and state.policy.may_start(state, request, now):
         return _start(state, request, now)
     waiting = sum(queued.entry == request.entry for queued in state.queue)
     if waiting >= request.limits.queue:
         return _refuse(state, request, Reason.NO_SLOT, now)
-    if now + _expected_wait(state, request) >= request.deadline:
-        return _refuse(state, request, Reason.QUEUE_TIMEOUT, now)
+    reason = state.policy.refusal(state, request, now)
+    if reason is not None:
+        return _refuse(state, request, reason, now)
     state.queue.append(request)
     return Queued(request)
 
 
-def _drop_late(state: AdmissionState, now: float) -> list[Decision]:
-    late = [r for r in state.queue if now + state.service_time / 2 >= r.deadline]
-    state.queue = [r for r in state.queue if r not in late]
-    return [_refuse(state, request, Reason.QUEUE_TIMEOUT, now) for request in late]
-
-
 def next_decisions(state: AdmissionState, now: float) -> list[Decision]:
-    """Drop queued requests that can't meet their deadline and start those with a slot."""
-    decisions: list[Decision] = _drop_late(state, now) if state.queue else []
-    for request in sorted(state.queue, key=lambda r: r.deadline):
+    """Drop queued requests that can't be served in time and start those with a slot."""
+    if not state.queue:
+        return []
+    late = state.policy.too_late(state, now)
+    state.queue = [r for r in state.queue if r not in late]
+    decisions: list[Decision] = [
+        _refuse(state, request, Reason.QUEUE_TIMEOUT, now) for request in late
+    ]
+    for request in state.policy.order(state, now):
         if _has_slot(state, request):
             state.queue.remove(request)
             decisions.append(_start(state, request, now))
@@ -199,9 +155,11 @@
 def finish(state: AdmissionState, attempt: AttemptId, started: float, now: float) -> list[Decision]:
     """Free the slot of a request and return what its end lets happen."""
     request = state.running_by_attempt.pop(attempt)
+    state.started_by_attempt.pop(attempt, None)
     state.running_count_by_entry[request.entry] -= 1
     _remember(state, attempt, Fate.FINISHED, now)
     state.service_time += SERVICE_TIME_WEIGHT * (now - started - state.service_time)
+    service_times.note(state.times, request.route, now - started)
     return next_decisions(state, now)
 
 
--- a/hornbeamgw/core/balancing.py
+++ b/hornbeamgw/core/balancing.py
@@ -4,14 +4,18 @@
 
 import random
 from collections.abc import Callable, Collection, Sequence
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from hornbeamgw.core.membership import Member, ServerState, Status
 
+if TYPE_CHECKING:
+    from hornbeamgw.core.placement import RouteTraits
+
 SLOW_START_S = 5.0
 SLOW_START_FLOOR = 0.1
 EJECT_AFTER_FAILURES = 5
 EJECT_BASE_S = 1.0
+EJECT_UNREACHABLE_S = 0.5  # a daemon that is killed is back after about a second
 EJECT_MAX_S = 30.0
 EJECT_CEILING = 0.5
 
@@ -27,6 +31,12 @@
         self.ejections = 0
         self.ejected_until = 0.0
         self.first_seen = now
+        self.wait = 0.0
+        self.reported_at = now
+        self.sent_since = 0
+        self.slowness = 1.0
+        self.failing = 0.0
+        self.outcome_at = now
 
 
 class Candidate(NamedTuple):
@@ -91,6 +101,11 @@
         load.failures = 0
 
 
+def note_unreachable(load: Load, now: float) -> None:
+    """Leave a server alone for a while whose daemon can't be reached."""
+    load.ejected_until = max(load.ejected_until, now + EJECT_UNREACHABLE_S)
+
+
 def note_success(load: Load) -> None:
     """Forget earlier failures."""
     load.failures = 0
@@ -127,6 +142,43 @@
     return [tier for tier in (local, region, alive, candidates) if tier]
 
 
+class Choice(NamedTuple):
+    """Hold what a backend server is chosen by, for one attempt; the aim in seconds."""
+
+    me: Member
+    candidates: list[Candidate]
+    tried: Collection[str]
+    traits: RouteTraits
+    aim: float
+    now: float
+
+
+Chooser = Callable[[Choice, random.Random], Candidate | None]
+choosers_by_name: dict[str, Chooser] = {}
+
+
+def register_chooser(name: str) -> Callable[[Chooser], Chooser]:
+    """Register a way to choose among all servers under the name that settings use."""
+
+    def add(chooser: Chooser) -> Chooser:
+        choosers_by_name[name] = chooser
+        return chooser
+
+    return add
+
+
+def chooser_of(name: str) -> Chooser:
+    """Return the way to choose of that name; a policy chooses within the nearest tier."""
+    if name in choosers_by_name:
+        return choosers_by_name[name]
+    policy = policies_by_name[name]
+
+    def nearest(choice: Choice, rng: random.Random) -> Candidate | None:
+        return choose(choice.me, choice.candidates, choice.tried, policy, choice.now, rng)
+
+    return nearest
+
+
 def choose(
     me: Member,
     candidates: list[Candidate],
--- a/hornbeamgw/core/options.py
+++ b/hornbeamgw/core/options.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
-from hornbeamgw.core import balancing, spreading
+from hornbeamgw.core import balancing, slots, spreading
+from hornbeamgw.core import placement as _placement  # noqa: F401  (registers itself)
+from hornbeamgw.core import queueing as _queueing  # noqa: F401  (registers itself)
 from hornbeamgw.core.problems import Duration, Problem, Size, check_mapping, read_yaml
 
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
@@ -70,6 +72,7 @@
 
     balancing: NotRequired[Text]
     dialect: NotRequired[Text]
+    queueing: NotRequired[Text]
     replay_limit: NotRequired[Size]
     header_timeout: NotRequired[Duration]
     idle_timeout: NotRequired[Duration]
@@ -133,6 +136,7 @@
     membership_suspicion: float = 4.0
     calls_balancing: str = "two_choice"
     calls_dialect: str = "hornbeamgw"
+    calls_queueing: str = "deadline"
     calls_replay_limit: float = 65_536.0
     calls_header_timeout: float = 5.0
     calls_idle_timeout: float = 60.0
@@ -208,9 +212,14 @@
 def _check_names(flat: Mapping[str, Any], source: str) -> list[Problem]:
     problems = []
     policy = flat.get("calls_balancing", "two_choice")
-    if policy not in balancing.policies_by_name:
-        expected = f"one of {sorted(balancing.policies_by_name)}"
+    known = {*balancing.policies_by_name, *balancing.choosers_by_name}
+    if policy not in known:
+        expected = f"one of {sorted(known)}"
         problems.append(Problem(source, "calls.balancing", policy, expected))
+    waiting = flat.get("calls_queueing", "deadline")
+    if waiting not in slots.policies_by_name:
+        expected = f"one of {sorted(slots.policies_by_name)}"
+        problems.append(Problem(source, "calls.queueing", waiting, expected))
     spread = flat.get("spreading", "tree")
     if spread not in spreading.policies_by_name:
         expected = f"one of {sorted(spreading.policies_by_name)}"
--- /dev/null
+++ b/hornbeamgw/core/queueing.py
@@ -0,0 +1,181 @@
+"""Queueing: which requests may wait for a slot; policies register themselves.
+
+*deadline* lets a request wait while it may still meet its deadline, and serves the nearest
+deadline first. Past saturation that serves mostly answers that come too late to be of full use.
+
+*objective* answers the pattern of the users' heavy days: work of 15, 60 and 240 ms shares six
+slots that are asked for 1.1 times over, and an answer after its objective is worth a third. A
+request waits only if a schedule of all that runs and waits puts its end before its objective, and
+if it pushes nothing of equal rank past its own; whoever can't be served in time hears so at once
+and may ask elsewhere. Rank is the operators' priority, then having been turned away before, then
+the shorter work, since that serves most requests by the same slots. One who comes back may also
+wait for a late answer: a second refusal leaves that caller with nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from hornbeamgw.core import backlog, service_times
+from hornbeamgw.core.slots import AdmissionState, QueuePolicy, Request, policies_by_name
+from hornbeamgw.core.verdict import Reason
+
+# A cold server works at half its speed (cold_x of the users' sheets).
+COLD_FACTOR = 2.0
+# Room left for the way back and for what the estimate misses, as a part of the objective.
+MARGIN = 0.1
+# Of its time to the deadline a late request keeps this part for its work, lest it be cut off.
+LATE_MARGIN = 0.85
+# A slot may be held by work that can only be late while this many others are free.
+FREE_SLOTS_FOR_LATE = 1
+
+
+# Nearest deadline first
+
+
+def _deadline_wait(state: AdmissionState, request: Request) -> float:
+    ahead = sum(queued.deadline <= request.deadline for queued in state.queue)
+    return (ahead + 1) * state.service_time / max(1, state.slots)
+
+
+def _deadline_refusal(state: AdmissionState, request: Request, now: float) -> Reason | None:
+    if now + _deadline_wait(state, request) >= request.deadline:
+        return Reason.QUEUE_TIMEOUT
+    return None
+
+
+def _deadline_order(state: AdmissionState, now: float) -> list[Request]:
+    return sorted(state.queue, key=lambda r: r.deadline)
+
+
+def _deadline_too_late(state: AdmissionState, now: float) -> list[Request]:
+    return [r for r in state.queue if now + state.service_time / 2 >= r.deadline]
+
+
+def _deadline_room(state: AdmissionState, request: Request, now: float) -> float:
+    return state.service_time * (1 + len(state.queue))
+
+
+# Expected end against the objective
+
+
+def length(state: AdmissionState, request: Request, now: float) -> float:
+    """Return how long (s) a request is expected to hold its slot if it starts now."""
+    mean = service_times.expected(state.times, request.route, request.aim)
+    known = request.route in state.times.estimates_by_route
+    return mean * (COLD_FACTOR if now < state.warm_at and not known else 1.0)
+
+
+def free_times(state: AdmissionState, now: float) -> list[float]:
+    """Return when (s) each slot is expected to be free."""
+    free = []
+    for attempt, request in state.running_by_attempt.items():
+        age = now - state.started_by_attempt.get(attempt, now)
+        free.append(now + service_times.remaining(length(state, request, now), age))
+    return free + [now] * (state.slots - len(free))
+
+
+def _limit(request: Request) -> float:
+    return request.objective - MARGIN * request.aim
+
+
+def _rank(state: AdmissionState, request: Request, now: float) -> tuple[int, bool, float]:
+    return request.priority, not request.came_back, length(state, request, now)
+
+
+def _order(state: AdmissionState, requests: Sequence[Request], now: float) -> list[Request]:
+    """Return the waiting: those that can be in time by latest start, then the late ones."""
+
+    def key(request: Request) -> tuple[bool, float]:
+        latest = _limit(request) - length(state, request, now)
+        late = latest < now
+        return late, request.deadline if late else latest
+
+    return sorted(requests, key=key)
+
+
+def _ends(state: AdmissionState, ordered: Sequence[Request], now: float) -> list[float]:
+    lengths = [length(state, request, now) for request in ordered]
+    begins = backlog.starts(free_times(state, now), lengths)
+    return [begin + held for begin, held in zip(begins, lengths, strict=True)]
+
+
+def _may_be_late(state: AdmissionState, request: Request, end: float, now: float) -> bool:
+    """Return whether a request that can't be in time may still wait for a late answer."""
+    if not request.came_back:
+        return False
+    return end <= now + LATE_MARGIN * (request.deadline - now)
+
+
+def _objective_refusal(state: AdmissionState, request: Request, now: float) -> Reason | None:
+    ordered = _order(state, [*state.queue, request], now)
+    before = _order(state, state.queue, now)
+    ends = dict(zip(ordered, _ends(state, ordered, now), strict=True))
+    if ends[request] > _limit(request):
+        late = _may_be_late(state, request, ends[request], now)
+        return None if late else Reason.NO_SLOT
+    ends_before = dict(zip(before, _ends(state, before, now), strict=True))
+    rank = _rank(state, request, now)
+    for other in before:
+        harmed = ends_before[other] <= _limit(other) < ends[other]
+        if harmed and _rank(state, other, now) <= rank:
+            return Reason.NO_SLOT
+    return None
+
+
+def _objective_may_start(state: AdmissionState, request: Request, now: float) -> bool:
+    """Return whether a request may take a free slot at once."""
+    end = now + length(state, request, now)
+    if end <= request.objective:
+        return not state.queue
+    free = state.slots - len(state.running_by_attempt)
+    in_time = end <= now + LATE_MARGIN * (request.deadline - now)
+    return in_time and not state.queue and (request.came_back or free > FREE_SLOTS_FOR_LATE)
+
+
+def _objective_order(state: AdmissionState, now: float) -> list[Request]:
+    return _order(state, state.queue, now)
+
+
+def _objective_too_late(state: AdmissionState, now: float) -> list[Request]:
+    """Return the waiting that others have pushed past their time."""
+    ordered = _order(state, state.queue, now)
+    ends = _ends(state, ordered, now)
+    return [
+        request
+        for request, end in zip(ordered, ends, strict=True)
+        if end > _limit(request) and not _may_be_late(state, request, end, now)
+    ]
+
+
+def _objective_room(state: AdmissionState, request: Request, now: float) -> float:
+    """Return when such a request could start, were nothing else to come meanwhile."""
+    ordered = _order(state, [*state.queue, request], now)
+    held = length(state, request, now)
+    end = _ends(state, ordered, now)[ordered.index(request)]
+    slack = max(0.0, request.aim * (1 - MARGIN) - held)
+    return max(held / max(1, state.slots), end - held - now - slack)
+
+
+policies_by_name["deadline"] = QueuePolicy(
+    lambda state, request, now: True,
+    _deadline_refusal,
+    _deadline_order,
+    _deadline_too_late,
+    _deadline_room,
+)
+policies_by_name["objective"] = QueuePolicy(
+    _objective_may_start,
+    _objective_refusal,
+    _objective_order,
+    _objective_too_late,
+    _objective_room,
+)
+
+
+def wait_for_newcomer(state: AdmissionState, now: float) -> float:
+    """Return how long (s) a request that arrives now is expected to wait for a slot."""
+    if len(state.running_by_attempt) + len(state.queue) < state.slots:
+        return 0.0
+    lengths = [length(state, request, now) for request in state.queue]
+    return max(0.0, backlog.starts(free_times(state, now), [*lengths, 0.0])[-1] - now)
--- a/hornbeamgw/daemon/attempts.py
+++ b/hornbeamgw/daemon/attempts.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from hornbeamgw.core import placement
 from hornbeamgw.core.balancing import Load
 from hornbeamgw.core.verdict import Failure, Reason, may_have_run, not_run
 from hornbeamgw.daemon import frames
@@ -106,7 +107,9 @@
             attempt.upload.add(frame.size)
         else:
             if not isinstance(frame, frames.Body):
-                attempt.load.free_slots = frame.free_slots
+                now = asyncio.get_running_loop().time()
+                wait = frame.wait_ms / 1000
+                placement.note_report(attempt.load, frame.free_slots, wait, now)
             attempt.events.put(frame)
 
     def _on_lost(self, link: Link) -> None:
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import uuid
 from collections import Counter
@@ -12,11 +13,13 @@
 
 import h11
 
-from hornbeamgw.core import balancing, retry_budget, retrying, split
-from hornbeamgw.core.balancing import Candidate, Load, Policy
+from hornbeamgw.core import balancing, placement, retry_budget, retrying, returns, split
+from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load
 from hornbeamgw.core.dialect import Dialect
 from hornbeamgw.core.membership import Member
+from hornbeamgw.core.placement import PlacementState
 from hornbeamgw.core.retry_budget import BudgetState
+from hornbeamgw.core.returns import ReturnState
 from hornbeamgw.core.snapshot import Route, Snapshot, match
 from hornbeamgw.core.split import SplitState
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
@@ -38,6 +41,14 @@
 # A refusal by a daemon beside a backend server costs nothing there, so others may be asked;
 # three ask every server of a service of today's sizes that is worth asking.
 MAX_REFUSALS = 3
+SERVER_ERROR = 500
+SERVER_FAULTS = frozenset(
+    {Reason.BACKEND_BROKE, Reason.BACKEND_REFUSED, Reason.BACKEND_UNREACHABLE, Reason.LINK_LOST}
+)
+# Callers that come back at the same moment would be refused again; they are told to spread
+# their returns over this part of the wait.
+RETURN_SPREAD = 0.5
+RETURN_MIN_MS = 10
 
 
 class View(NamedTuple):
@@ -72,6 +83,10 @@
         self.call_id = call_id
         self.route = route
         self.service = service
+        self.aim = route.objective_ms / 1000
+        self.objective = math.inf
+        self.came_back = False
+        self.retry_after_ms = 0
         self.arrivals = 0
         self.refusals = 0
         self.head = head
@@ -93,7 +108,7 @@
         self,
         view: Callable[[], View],
         links: Links,
-        policy: Policy,
+        choose: Chooser,
         replay_limit: int,
         rng: random.Random,
         identity: Identity,
@@ -109,7 +124,9 @@
         self.draining = False
         self._view = view
         self._links = links
-        self._policy = policy
+        self._choose = choose
+        self._placement = PlacementState()
+        self._returns = ReturnState()
         self._replay_limit = replay_limit
         self._rng = rng
         self._loads_by_address: dict[str, Load] = {}
@@ -166,7 +183,11 @@
         deadline = now + min(allowed, route.deadline_ms) / 1000
         service = split.choose(self._splits, route, self._rng)
         head = heads.RequestHead(request.method, request.target, self._passed_on(request))
-        return _Call(call_id, route, service, head, deadline, min(budget, MAX_RETRY_BUDGET))
+        call = _Call(call_id, route, service, head, deadline, min(budget, MAX_RETRY_BUDGET))
+        before = returns.elapsed_before(self._returns, route.name, allowed, now)
+        call.came_back = before > 0
+        call.objective = now + call.aim - before
+        return call
 
     def _passed_on(self, request: h11.Request) -> Headers:
         replaced = self._dialect.set_by_daemons | {self._dialect.call_id, b"expect"}
@@ -211,6 +232,7 @@
                 return None
             failure = retrying.combine(verdict, failure)
             verdict = failure.verdict
+            call.retry_after_ms = _sooner(call.retry_after_ms, failure.retry_after_ms)
             if call.caller_gone or call.started_stream:
                 return failure
             now = loop.time()
@@ -218,7 +240,7 @@
             call.refusals += not failure.reached_server
             retry = self._retry(call, failure, now)
             if retry is None:
-                return failure
+                return self._with_return(call, failure)
             self.counts["retries"] += 1
             log.debug(
                 "retry", extra={"call_id": call.call_id, "failure": failure, "delay": retry.delay}
@@ -226,6 +248,14 @@
             await asyncio.sleep(retry.delay)
             view = self._view()._replace(snapshot=view.snapshot)
 
+    def _with_return(self, call: _Call, failure: Failure) -> Failure:
+        """Tell a caller whose request did not run when there will be room, each a bit later."""
+        if failure.verdict is not Verdict.NOT_RUN or not call.retry_after_ms:
+            return failure
+        spread = self._rng.uniform(1, 1 + RETURN_SPREAD)
+        wait = max(RETURN_MIN_MS, round(call.retry_after_ms * spread))
+        return failure._replace(retry_after_ms=wait)
+
     def _retry(self, call: _Call, failure: Failure, now: float) -> retrying.Retry | None:
         """Return a retry where the call, the route and the fleet's budget allow one."""
         if call.refusals >= MAX_REFUSALS or call.arrivals >= call.route.attempts:
@@ -264,7 +294,9 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         candidates = self._candidates(view, call.service, now)
-        chosen = balancing.choose(view.me, candidates, call.tried, self._policy, now, self._rng)
+        traits = placement.traits_of(self._placement, call.route.name, call.aim)
+        choice = Choice(view.me, candidates, call.tried, traits, call.aim, now)
+        chosen = self._choose(choice, self._rng)
         if chosen is None:
             detail = f"no backend server of {call.service} is known"
             return not_run(Reason.NO_BACKEND, detail, NO_ENDPOINT_RETRY_MS)
@@ -274,6 +306,7 @@
             link = await self._links.link_to(address)
         except LinkLost as error:
             balancing.note_failure(chosen.load, loop.time())
+            balancing.note_unreachable(chosen.load, loop.time())
             return not_run(Reason.BACKEND_UNREACHABLE, str(error), NO_ENDPOINT_RETRY_MS)
         now = loop.time()
         remaining = call.deadline - now
@@ -301,9 +334,20 @@
             heads.encode_request(call.head),
             call.body,
             call.body_complete,
+            call.route.name,
+            self._objective_ms(call),
+            call.route.objective_ms,
+            call.route.priority,
+            call.came_back,
         )
+        attempt.load.sent_since += 1
         attempt.link.send(frame)
 
+    def _objective_ms(self, call: _Call) -> int:
+        """Return what is left of the objective; past it, how long ago it passed, negative."""
+        left = call.objective - asyncio.get_running_loop().time()
+        return max(-frames.NO_OBJECTIVE_MS, round(left * 1000))
+
     async def _await_answer(
         self, connection: HttpConnection, call: _Call, attempt: Attempt, address: str
     ) -> Failure | None:
@@ -315,16 +359,33 @@
             event = await attempt.events.get()
             if isinstance(event, frames.Reply):
                 balancing.note_success(attempt.load)
+                self._note_reply(call, attempt, event)
                 await self._relay(connection, call, attempt, event)
                 return None
             failure = await self._failure_of(event, attempt, address)
         finally:
             if upload is not None:
                 upload.cancel()
-        if failure.reason in (Reason.BACKEND_BROKE, Reason.LINK_LOST, Reason.BACKEND_UNREACHABLE):
-            balancing.note_failure(attempt.load, loop.time())
+        self._note_failure(attempt, failure, loop.time())
         return failure
 
+    def _note_reply(self, call: _Call, attempt: Attempt, reply: frames.Reply) -> None:
+        now = asyncio.get_running_loop().time()
+        traits = placement.traits_of(self._placement, call.route.name, call.aim)
+        size = len(call.body) + _size_of(reply)
+        failed = reply.status >= SERVER_ERROR
+        placement.note_outcome(attempt.load, failed, now)
+        if not failed:
+            placement.note_answer(traits, attempt.load, reply.service_ms / 1000, size)
+
+    def _note_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
+        if failure.reason in (Reason.BACKEND_BROKE, Reason.LINK_LOST, Reason.BACKEND_UNREACHABLE):
+            balancing.note_failure(attempt.load, now)
+        if failure.reason is Reason.BACKEND_UNREACHABLE:
+            balancing.note_unreachable(attempt.load, now)
+        if failure.reason in SERVER_FAULTS:
+            placement.note_outcome(attempt.load, True, now)
+
     async def _failure_of(self, event: object, attempt: Attempt, address: str) -> Failure:
         if isinstance(event, frames.Refusal):
             return event.failure
@@ -402,6 +463,17 @@
         send_failure(connection, failure, call_id, self._dialect, self.draining)
 
 
+def _sooner(earlier_ms: int, later_ms: int) -> int:
+    return min(earlier_ms, later_ms) if earlier_ms and later_ms else earlier_ms or later_ms
+
+
+def _size_of(reply: frames.Reply) -> int:
+    if reply.end:
+        return len(reply.head) + len(reply.body)
+    length = header(heads.decode_headers(reply.head), b"content-length") or b""
+    return int(length) if length.isdigit() else len(reply.body)
+
+
 def _call_id(request: h11.Request, name: bytes) -> str:
     given = header(request.headers, name)
     return given.decode("latin-1")[:64] if given else uuid.uuid4().hex[:16]
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -87,6 +87,11 @@
     call.head = f.head
     call.body = f.body
     call.end = f.end
+    call.route = f.route
+    call.objectiveMs = f.objective_ms
+    call.aimMs = f.aim_ms
+    call.priority = f.priority
+    call.cameBack = f.came_back
 
 
 def _write_body(out: Any, f: frames.Body) -> None:
@@ -102,6 +107,8 @@
     reply.body = f.body
     reply.end = f.end
     reply.freeSlots = f.free_slots
+    reply.waitMs = f.wait_ms
+    reply.serviceMs = f.service_ms
 
 
 def _write_refusal(out: Any, f: frames.Refusal) -> None:
@@ -112,6 +119,7 @@
     refusal.detail = f.failure.detail
     refusal.retryAfterMs = f.failure.retry_after_ms
     refusal.freeSlots = f.free_slots
+    refusal.waitMs = f.wait_ms
     refusal.reachedServer = f.failure.reached_server
 
 
@@ -198,13 +206,24 @@
         c.head,
         c.body,
         c.end,
+        c.route,
+        c.objectiveMs,
+        c.aimMs,
+        c.priority,
+        c.cameBack,
+    )
+
+
+def _read_reply(r: Any) -> frames.Reply:
+    return frames.Reply(
+        r.attempt, r.status, r.head, r.body, r.end, r.freeSlots, r.waitMs, r.serviceMs
     )
 
 
 def _read_refusal(r: Any) -> frames.Refusal:
     verdict = Verdict.MAY_HAVE_RUN if r.mayHaveRun else Verdict.NOT_RUN
     failure = Failure(verdict, Reason(r.reason), r.detail, r.retryAfterMs, r.reachedServer)
-    return frames.Refusal(r.attempt, failure, r.freeSlots)
+    return frames.Refusal(r.attempt, failure, r.freeSlots, r.waitMs)
 
 
 _readers_by_kind: dict[str, Callable[[Any], frames.Frame]] = {
@@ -212,7 +231,7 @@
     "heartbeat": frames.Heartbeat,
     "call": _read_call,
     "body": lambda b: frames.Body(b.attempt, b.data, b.end),
-    "reply": lambda r: frames.Reply(r.attempt, r.status, r.head, r.body, r.end, r.freeSlots),
+    "reply": _read_reply,
     "refusal": _read_refusal,
     "credit": lambda c: frames.Credit(c.attempt, c.bytes),
     "cancel": frames.Cancel,
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -8,6 +8,8 @@
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.verdict import Failure
 
+NO_OBJECTIVE_MS = 3_600_000
+
 
 class Hello(NamedTuple):
     """Open a link: the first frame of either side."""
@@ -24,7 +26,10 @@
 
 
 class Call(NamedTuple):
-    """Ask for an attempt: the head of the request and the start of its body."""
+    """Ask for an attempt: the head of the request and the start of its body.
+
+    The objective (ms) is what is left of it, and the aim its whole; what is left may be negative.
+    """
 
     attempt: int
     call_id: str
@@ -36,6 +41,11 @@
     head: bytes
     body: bytes
     end: bool
+    route: str = ""
+    objective_ms: int = NO_OBJECTIVE_MS
+    aim_ms: int = 1000
+    priority: int = 0
+    came_back: bool = False
 
 
 class Body(NamedTuple):
@@ -47,7 +57,10 @@
 
 
 class Reply(NamedTuple):
-    """Carry the head and the start of the body of an answer."""
+    """Carry the head and the start of the body of an answer.
+
+    With it goes how long a newcomer would wait there, and how long this one held its slot (ms).
+    """
 
     attempt: int
     status: int
@@ -55,6 +68,8 @@
     body: bytes
     end: bool
     free_slots: int
+    wait_ms: int = 0
+    service_ms: int = 0
 
 
 class Refusal(NamedTuple):
@@ -63,6 +78,7 @@
     attempt: int
     failure: Failure
     free_slots: int
+    wait_ms: int = 0
 
 
 class Credit(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -27,6 +27,7 @@
 log = logging.getLogger(__name__)
 
 RETRY_AFTER_NOT_READY_MS = 20
+MAX_WAIT_MS = 60_000
 
 
 class Announcement(NamedTuple):
@@ -69,9 +70,10 @@
         snapshot: Callable[[], Snapshot],
         on_server_change: Callable[[], None],
         dialect: Dialect = HORNBEAMGW,
+        policy: str = "deadline",
     ) -> None:
         """Take the snapshot in force and what to call when the server's state changes."""
-        self.state = AdmissionState()
+        self.state = AdmissionState(policy)
         self.dialect = dialect
         self.on_replaced: Callable[[str], None] = lambda instance: None
         self.pool = BackendPool()
@@ -95,6 +97,7 @@
         self.announcement = announcement
         self.state.service = announcement.service
         self.state.slots = announcement.slots
+        self.state.warm_at = announcement.warm_at
         self.pool.configure(announcement.address, announcement.connections)
         if announcement.state is ServerState.DRAINING and not draining:
             self.drain("announced by the backend server")
@@ -196,7 +199,17 @@
             self._send_failure(attempt, failure)
             return
         self._refresh_reserved()
-        request = admission.Request(attempt_id, call.entry, limits, now + call.deadline_ms / 1000)
+        request = admission.Request(
+            attempt_id,
+            call.entry,
+            limits,
+            now + call.deadline_ms / 1000,
+            call.route,
+            now + call.objective_ms / 1000,
+            call.aim_ms / 1000,
+            call.priority,
+            call.came_back,
+        )
         decision = admission.admit(self.state, request, call.service, now)
         if not isinstance(decision, Refused):
             self._attempts[attempt_id] = attempt
@@ -241,8 +254,14 @@
             self.idle.set()
 
     def _send_failure(self, attempt: _Attempt, failure: Failure) -> None:
-        free = admission.free_slots(self.state)
-        attempt.link.send(frames.Refusal(attempt.call.attempt, failure, free))
+        free, wait_ms = self._load()
+        attempt.link.send(frames.Refusal(attempt.call.attempt, failure, free, wait_ms))
+
+    def _load(self) -> tuple[int, int]:
+        """Return the free slots, and how long (ms) a newcomer would wait."""
+        now = asyncio.get_running_loop().time()
+        wait = admission.expected_wait(self.state, now)
+        return admission.free_slots(self.state), min(MAX_WAIT_MS, round(wait * 1000))
 
     def _start(self, attempt: _Attempt, deadline: float) -> None:
         self.counts["admitted"] += 1
@@ -363,6 +382,10 @@
         why = spoilt(self.dialect, answer, attempt.call.call_id.encode())
         return may_have_run(Reason.BACKEND_BROKE, why) if why else None
 
+    def _held_ms(self, attempt: _Attempt) -> int:
+        now = asyncio.get_running_loop().time()
+        return round((now - self.state.started_by_attempt.get(attempt.id, now)) * 1000)
+
     async def _relay_reply(
         self, attempt: _Attempt, connection: HttpConnection, sent: list[h11.Event]
     ) -> Failure | None:
@@ -378,7 +401,8 @@
             heads.encode_headers(end_to_end(event.headers)),
             body,
             end,
-            admission.free_slots(self.state),
+            *self._load(),
+            self._held_ms(attempt),
         )
         attempt.link.send(reply)
         attempt.replied = True
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -40,6 +40,11 @@
   head @7 :Data;
   body @8 :Data;
   end @9 :Bool;
+  route @10 :Text;
+  objectiveMs @11 :Int32;
+  aimMs @12 :UInt32;
+  priority @13 :UInt16;
+  cameBack @14 :Bool;
 }
 
 struct Body {
@@ -55,6 +60,8 @@
   body @3 :Data;
   end @4 :Bool;
   freeSlots @5 :UInt16;
+  waitMs @6 :UInt32;
+  serviceMs @7 :UInt32;
 }
 
 struct Refusal {
@@ -65,6 +72,7 @@
   retryAfterMs @4 :UInt32;
   freeSlots @5 :UInt16;
   reachedServer @6 :Bool;
+  waitMs @7 :UInt32;
 }
 
 struct Credit {
