Take a reset that comes with the last bytes for what it is

Cause: where the last bytes and a reset are there at one wake-up, libuv reports the end of input without reading it, and an answer without a length passed for complete. Ruled out (logged): our own chunking, the link, the caller's side. Change: at the end of input, ask the socket for a pending error.

--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import NamedTuple, cast
@@ -72,13 +73,24 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Hand the end of input to h11."""
+        """Hand the end of input to h11, unless it is a reset in disguise.
+
+        libuv reports the end of input without reading it where the last bytes and a reset came
+        together, and an answer without a length would then pass for complete.
+        """
+        if self._was_reset():
+            self.connection_lost(ConnectionResetError())
+            return False
         self.http.receive_data(b"")
         self._wake()
         if self.on_lost is not None:
             self.on_lost()
         return False
 
+    def _was_reset(self) -> bool:
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        return sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
     def connection_lost(self, error: Exception | None) -> None:
         """Wake whoever waits."""
         self.lost = True
