Charge repeats of inner calls where they begin; end a call with what the last server said

Cause: with every server of a service asked in vain, callers were told that none is known, and to come back after a fixed 200 ms; and half of the retry budget lay idle for inner calls of repeats. Change: the daemon beside a repeated run charges the calls that begin there by the share of repeats; the last refusal is the answer.

--- a/hornbeamgw/core/retry_budget.py
+++ b/hornbeamgw/core/retry_budget.py
@@ -2,9 +2,9 @@
 
 The bound of a fleet is a share of a service's requests in a window plus a fixed slack. It is kept
 without a coordinator: each daemon spends only what its own requests earn, and its part of the
-slack by the number of members. Half of the share is left unspent, for a repeated run makes its
-own calls again, and those count as repeats at the services that it calls, where this daemon
-can't see them.
+slack by the number of members. A repeated run makes its own calls again, and those count as
+repeats at the services that it calls: the daemon beside it charges the requests that arrive there
+with the share of repeats among what runs at its own backend server.
 """
 
 from __future__ import annotations
@@ -12,7 +12,8 @@
 from collections import deque
 from typing import NamedTuple
 
-OWN_PART = 0.5
+# What is left unspent covers requests still under way and windows that do not line up.
+OWN_PART = 0.8
 
 
 class Bound(NamedTuple):
@@ -27,6 +28,8 @@
     def __init__(self) -> None:
         self.requests: deque[float] = deque()
         self.repeats: deque[float] = deque()
+        self.inner: deque[tuple[float, float]] = deque()
+        self.inner_sum = 0.0
 
 
 class BudgetState:
@@ -45,6 +48,8 @@
     for times in (window.requests, window.repeats):
         while times and times[0] <= oldest:
             times.popleft()
+    while window.inner and window.inner[0][0] <= oldest:
+        window.inner_sum -= window.inner.popleft()[1]
     return window
 
 
@@ -58,12 +63,21 @@
     _window(state, service, now).requests.append(now)
 
 
+def note_inner_repeat(state: BudgetState, service: str, share: float, now: float) -> None:
+    """Charge a request with the likelihood that it is a call of a repeated run."""
+    if share <= 0:
+        return
+    window = _window(state, service, now)
+    window.inner.append((now, share))
+    window.inner_sum += share
+
+
 def take_repeat(state: BudgetState, service: str, now: float) -> bool:
     """Return whether a request may reach a backend server once more, and count it if so."""
     window = _window(state, service, now)
     earned = state.bound.ratio * len(window.requests)
     allowed = OWN_PART * (earned + state.bound.slack / state.members)
-    if len(window.repeats) + 1 > allowed:
+    if len(window.repeats) + window.inner_sum + 1 > allowed:
         return False
     window.repeats.append(now)
     return True
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -113,11 +113,13 @@
         rng: random.Random,
         identity: Identity,
         budget: BudgetState,
+        repeat_share: Callable[[], float],
     ) -> None:
         """Take the view to decide on, the links to other daemons and the balancing policy."""
         self._identity = identity
         self._dialect = identity.dialect
         self._budget = budget
+        self._repeat_share = repeat_share
         self._splits = SplitState()
         self.counts: Counter[str] = Counter()
         self.histograms = Histograms()
@@ -142,6 +144,8 @@
         found = self._open(view, request, call_id, started)
         if isinstance(found, _Call):
             retry_budget.note_request(self._budget, found.service, started)
+            share = self._repeat_share()
+            retry_budget.note_inner_repeat(self._budget, found.service, share, started)
         if isinstance(found, Failure):
             self._count(found, None, call_id)
             self._fail(connection, found, call_id)
@@ -225,27 +229,28 @@
         self, connection: HttpConnection, call: _Call, view: View
     ) -> Failure | None:
         loop = asyncio.get_running_loop()
-        verdict = Verdict.NOT_RUN
+        last: Failure | None = None
         while True:
-            failure = await self._attempt(connection, call, view)
+            chosen = self._place(call, view, loop.time())
+            if chosen is None:
+                return self._with_return(call, last or _no_server(call.service))
+            failure = await self._attempt(connection, call, chosen)
             if failure is None:
                 return None
-            failure = retrying.combine(verdict, failure)
-            verdict = failure.verdict
+            if last is not None:
+                failure = retrying.combine(last.verdict, failure)
+            last = failure
             call.retry_after_ms = _sooner(call.retry_after_ms, failure.retry_after_ms)
             if call.caller_gone or call.started_stream:
                 return failure
-            now = loop.time()
             call.arrivals += failure.reached_server
             call.refusals += not failure.reached_server
-            retry = self._retry(call, failure, now)
+            retry = self._retry(call, failure, loop.time())
             if retry is None:
                 return self._with_return(call, failure)
             self.counts["retries"] += 1
-            log.debug(
-                "retry", extra={"call_id": call.call_id, "failure": failure, "delay": retry.delay}
-            )
-            await asyncio.sleep(retry.delay)
+            if failure.reached_server:
+                await asyncio.sleep(retry.delay)
             view = self._view()._replace(snapshot=view.snapshot)
 
     def _with_return(self, call: _Call, failure: Failure) -> Failure:
@@ -290,16 +295,16 @@
     def _load(self, member: Member, now: float) -> Load:
         return self._loads_by_address.setdefault(member.address, Load(now))
 
-    async def _attempt(self, connection: HttpConnection, call: _Call, view: View) -> Failure | None:
-        loop = asyncio.get_running_loop()
-        now = loop.time()
+    def _place(self, call: _Call, view: View, now: float) -> Candidate | None:
         candidates = self._candidates(view, call.service, now)
         traits = placement.traits_of(self._placement, call.route.name, call.aim)
         choice = Choice(view.me, candidates, call.tried, traits, call.aim, now)
-        chosen = self._choose(choice, self._rng)
-        if chosen is None:
-            detail = f"no backend server of {call.service} is known"
-            return not_run(Reason.NO_BACKEND, detail, NO_ENDPOINT_RETRY_MS)
+        return self._choose(choice, self._rng)
+
+    async def _attempt(
+        self, connection: HttpConnection, call: _Call, chosen: Candidate
+    ) -> Failure | None:
+        loop = asyncio.get_running_loop()
         address = chosen.member.address
         call.tried.append(address)
         try:
@@ -339,6 +344,7 @@
             call.route.objective_ms,
             call.route.priority,
             call.came_back,
+            call.arrivals > 0,
         )
         attempt.load.sent_since += 1
         attempt.link.send(frame)
@@ -463,6 +469,11 @@
         send_failure(connection, failure, call_id, self._dialect, self.draining)
 
 
+def _no_server(service: str) -> Failure:
+    detail = f"no backend server of {service} is known"
+    return not_run(Reason.NO_BACKEND, detail, NO_ENDPOINT_RETRY_MS)
+
+
 def _sooner(earlier_ms: int, later_ms: int) -> int:
     return min(earlier_ms, later_ms) if earlier_ms and later_ms else earlier_ms or later_ms
 
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -92,6 +92,7 @@
     call.aimMs = f.aim_ms
     call.priority = f.priority
     call.cameBack = f.came_back
+    call.repeat = f.repeat
 
 
 def _write_body(out: Any, f: frames.Body) -> None:
@@ -211,6 +212,7 @@
         c.aimMs,
         c.priority,
         c.cameBack,
+        c.repeat,
     )
 
 
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -46,6 +46,7 @@
     aim_ms: int = 1000
     priority: int = 0
     came_back: bool = False
+    repeat: bool = False
 
 
 class Body(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -253,6 +253,14 @@
         if not self._attempts:
             self.idle.set()
 
+    def repeat_share(self) -> float:
+        """Return which part of what runs at the server has reached one before."""
+        running = self.state.running_by_attempt
+        if not running:
+            return 0.0
+        repeats = sum(self._attempts[a].call.repeat for a in running if a in self._attempts)
+        return repeats / len(running)
+
     def _send_failure(self, attempt: _Attempt, failure: Failure) -> None:
         free, wait_ms = self._load()
         attempt.link.send(frames.Refusal(attempt.call.attempt, failure, free, wait_ms))
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -87,7 +87,16 @@
         identity = Identity(dialect, settings.server_service)
         bound = Bound(settings.budget_ratio, settings.budget_slack, settings.budget_window)
         self.budget = BudgetState(bound)
-        self.calls = Calls(self._view, self.links, choose, replay_limit, rng, identity, self.budget)
+        self.calls = Calls(
+            self._view,
+            self.links,
+            choose,
+            replay_limit,
+            rng,
+            identity,
+            self.budget,
+            self.gate.repeat_share,
+        )
         self.peers = PeerServer(self.control, self.reader, self.gate)
         self.callers = HttpServer(self.calls.on_request, timeouts)
         admin = Admin(self.control, self.reader, self.committer, self.gate, self.calls)
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -45,6 +45,7 @@
   aimMs @12 :UInt32;
   priority @13 :UInt16;
   cameBack @14 :Bool;
+  repeat @15 :Bool;
 }
 
 struct Body {
