Start from the store at once, keep promises in the queue, doubt silent links early

Change: read the row first and join beside; limits travel with a call; what is let in keeps its place; silence counts from the first question, and a doubted link gets no new work.

--- a/hornbeamgw/core/queueing.py
+++ b/hornbeamgw/core/queueing.py
@@ -7,9 +7,9 @@
 slots that are asked for 1.1 times over, and an answer after its objective is worth a third. A
 request waits only if a schedule of all that runs and waits puts its end before its objective, and
 if it pushes nothing of equal rank past its own; whoever can't be served in time hears so at once
-and may ask elsewhere. Rank is the operators' priority, then having been turned away before, then
-the shorter work, since that serves most requests by the same slots. One who comes back may also
-wait for a late answer: a second refusal leaves that caller with nothing.
+and may ask elsewhere. To have been let in is a promise: it is broken only for a more urgent
+priority, or once the deadline is out of reach. Work that can only be late takes slots that are
+free, since each slot second spent on it makes one more caller come back.
 """
 
 from __future__ import annotations
@@ -79,19 +79,9 @@
     return request.objective - MARGIN * request.aim
 
 
-def _rank(state: AdmissionState, request: Request, now: float) -> tuple[int, bool, float]:
-    return request.priority, not request.came_back, length(state, request, now)
-
-
 def _order(state: AdmissionState, requests: Sequence[Request], now: float) -> list[Request]:
-    """Return the waiting: those that can be in time by latest start, then the late ones."""
-
-    def key(request: Request) -> tuple[bool, float]:
-        latest = _limit(request) - length(state, request, now)
-        late = latest < now
-        return late, request.deadline if late else latest
-
-    return sorted(requests, key=key)
+    """Return the waiting by latest start; one that missed it keeps its place."""
+    return sorted(requests, key=lambda r: _limit(r) - length(state, r, now))
 
 
 def _ends(state: AdmissionState, ordered: Sequence[Request], now: float) -> list[float]:
@@ -100,25 +90,21 @@
     return [begin + held for begin, held in zip(begins, lengths, strict=True)]
 
 
-def _may_be_late(state: AdmissionState, request: Request, end: float, now: float) -> bool:
-    """Return whether a request that can't be in time may still wait for a late answer."""
-    if not request.came_back:
-        return False
+def _in_reach(request: Request, end: float, now: float) -> bool:
+    """Return whether an end leaves enough time before the deadline."""
     return end <= now + LATE_MARGIN * (request.deadline - now)
 
 
 def _objective_refusal(state: AdmissionState, request: Request, now: float) -> Reason | None:
     ordered = _order(state, [*state.queue, request], now)
-    before = _order(state, state.queue, now)
     ends = dict(zip(ordered, _ends(state, ordered, now), strict=True))
     if ends[request] > _limit(request):
-        late = _may_be_late(state, request, ends[request], now)
-        return None if late else Reason.NO_SLOT
+        return Reason.NO_SLOT
+    before = _order(state, state.queue, now)
     ends_before = dict(zip(before, _ends(state, before, now), strict=True))
-    rank = _rank(state, request, now)
     for other in before:
         harmed = ends_before[other] <= _limit(other) < ends[other]
-        if harmed and _rank(state, other, now) <= rank:
+        if harmed and other.priority <= request.priority:
             return Reason.NO_SLOT
     return None
 
@@ -126,11 +112,13 @@
 def _objective_may_start(state: AdmissionState, request: Request, now: float) -> bool:
     """Return whether a request may take a free slot at once."""
     end = now + length(state, request, now)
+    if state.queue:
+        return False
     if end <= request.objective:
-        return not state.queue
+        return True
     free = state.slots - len(state.running_by_attempt)
-    in_time = end <= now + LATE_MARGIN * (request.deadline - now)
-    return in_time and not state.queue and (request.came_back or free > FREE_SLOTS_FOR_LATE)
+    wanted = 0 if request.came_back else FREE_SLOTS_FOR_LATE
+    return free > wanted and _in_reach(request, end, now)
 
 
 def _objective_order(state: AdmissionState, now: float) -> list[Request]:
@@ -138,13 +126,13 @@
 
 
 def _objective_too_late(state: AdmissionState, now: float) -> list[Request]:
-    """Return the waiting that others have pushed past their time."""
+    """Return the waiting whose deadline is out of reach."""
     ordered = _order(state, state.queue, now)
     ends = _ends(state, ordered, now)
     return [
         request
         for request, end in zip(ordered, ends, strict=True)
-        if end > _limit(request) and not _may_be_late(state, request, end, now)
+        if not _in_reach(request, end, now)
     ]
 
 
--- a/hornbeamgw/daemon/attempts.py
+++ b/hornbeamgw/daemon/attempts.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from hornbeamgw.core import placement
+from hornbeamgw.core import balancing, placement
 from hornbeamgw.core.balancing import Load
 from hornbeamgw.core.verdict import Failure, Reason, may_have_run, not_run
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.flow import Mailbox, Window
-from hornbeamgw.daemon.link import Link, LinkLost, dial, exchange
+from hornbeamgw.daemon.link import DOUBTED_AFTER_S, Link, LinkLost, dial, exchange
 
 log = logging.getLogger(__name__)
 
@@ -39,8 +39,12 @@
 class Attempt:
     """Hold one attempt from its first frame to its last."""
 
-    def __init__(self, number: int, link: Link, load: Load, started: float) -> None:
+    def __init__(
+        self, number: int, link: Link, load: Load, started: float, idempotent: bool = False
+    ) -> None:
         """Take the link that it runs on."""
+        self.idempotent = idempotent
+        self.answered = False
         self.number = number
         self.link = link
         self.load = load
@@ -84,11 +88,13 @@
         if not task.cancelled() and task.exception() is None:
             self._links_by_address[address] = task.result()
 
-    def start(self, link: Link, load: Load, now: float) -> Attempt:
+    def start(self, link: Link, load: Load, now: float, idempotent: bool = False) -> Attempt:
         """Return a new attempt on a link."""
         self._next_number += 1
-        attempt = Attempt(self._next_number, link, load, now)
+        attempt = Attempt(self._next_number, link, load, now, idempotent)
         self._attempts_by_number[attempt.number] = attempt
+        if load.outstanding == 0:
+            link.expect(now)
         load.outstanding += 1
         return attempt
 
@@ -109,6 +115,7 @@
             if not isinstance(frame, frames.Body):
                 now = asyncio.get_running_loop().time()
                 wait = frame.wait_ms / 1000
+                attempt.answered = True
                 placement.note_report(attempt.load, frame.free_slots, wait, now)
             attempt.events.put(frame)
 
@@ -126,6 +133,17 @@
                 continue
             if link in waiting:
                 link.check(now)
+                if now - link.received_at >= DOUBTED_AFTER_S:
+                    self._doubt(link, now)
+
+    def _doubt(self, link: Link, now: float) -> None:
+        """Send nothing more over a silent link for now, and give up on what may run elsewhere."""
+        self.counts["links_doubted"] += 1
+        for attempt in self._attempts_by_number.values():
+            if attempt.link is link:
+                balancing.note_unreachable(attempt.load, now)
+                if attempt.idempotent and not attempt.answered:
+                    attempt.events.put(LinkGone())
 
     async def resolve(self, address: str, attempt: Attempt, now: float) -> Failure:
         """Ask on a new link what became of an attempt whose link was lost."""
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -317,7 +317,7 @@
         remaining = call.deadline - now
         if remaining <= 0 or call.caller_gone:
             return not_run(Reason.CALLER_GONE if call.caller_gone else Reason.DEADLINE)
-        attempt = self._links.start(link, chosen.load, now)
+        attempt = self._links.start(link, chosen.load, now, call.route.idempotent)
         call.current = attempt
         try:
             self._send_call(attempt, call, remaining)
@@ -345,6 +345,7 @@
             call.route.priority,
             call.came_back,
             call.arrivals > 0,
+            call.route.entry.limits,
         )
         attempt.load.sent_since += 1
         attempt.link.send(frame)
@@ -395,6 +396,9 @@
     async def _failure_of(self, event: object, attempt: Attempt, address: str) -> Failure:
         if isinstance(event, frames.Refusal):
             return event.failure
+        if isinstance(event, LinkGone) and attempt.idempotent:
+            attempt.link.send(frames.Cancel(attempt.number))
+            return may_have_run(Reason.LINK_LOST, "the link is silent or lost")
         if isinstance(event, LinkGone):
             now = asyncio.get_running_loop().time()
             return await self._links.resolve(address, attempt, now)
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -11,6 +11,7 @@
 
 from hornbeamgw.core.membership import Ack, Indirect, Member, Probe, ServerState, Status
 from hornbeamgw.core.node import Envelope, Message
+from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.spreading import Have, Push, Scope
 from hornbeamgw.core.verdict import Failure, Reason, Verdict
 from hornbeamgw.daemon import frames
@@ -93,6 +94,8 @@
     call.priority = f.priority
     call.cameBack = f.came_back
     call.repeat = f.repeat
+    limits = call.init("limits")
+    limits.slots, limits.reserved, limits.queue = f.limits
 
 
 def _write_body(out: Any, f: frames.Body) -> None:
@@ -213,6 +216,7 @@
         c.priority,
         c.cameBack,
         c.repeat,
+        Limits(c.limits.slots, c.limits.reserved, c.limits.queue),
     )
 
 
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -227,9 +227,15 @@
             log.info("pull failed", extra={"source": source, "error": str(error)})
         self._carry(node.pull_ended(self.node, source, known, _moment(), self.rng))
 
-    async def ask(self, address: str, request: frames.Frame, kind: str) -> frames.Frame:
-        """Ask another daemon one question; raise LinkLost."""
-        done = await exchange(address, self.hello, request, self.fault, EXCHANGE_TIMEOUT_S)
+    async def ask(
+        self,
+        address: str,
+        request: frames.Frame,
+        kind: str,
+        timeout: float = EXCHANGE_TIMEOUT_S,
+    ) -> frames.Frame:
+        """Ask another daemon one question within a time (s); raise LinkLost."""
+        done = await exchange(address, self.hello, request, self.fault, timeout)
         self.meter.sent(kind, done.bytes_out)
         self.meter.received(kind, done.bytes_in)
         return done.answer
--- a/hornbeamgw/daemon/directory.py
+++ b/hornbeamgw/daemon/directory.py
@@ -26,7 +26,8 @@
 TABLE = "hornbeamgw-daemons"
 BACKOFF_S = 0.1
 BACKOFF_MAX_S = 1.0  # a store that is back is asked again well within 2 s
-PEERS_TO_JOIN = 2
+# Several at once, for some rows are of daemons that are gone.
+PEERS_TO_JOIN = 4
 # Once in two minutes at 950 daemons costs the one that sweeps two calls and 100 KB.
 SWEEP_EVERY_S = 120.0
 SWEEPERS = 1
@@ -99,11 +100,9 @@
         known = self._control.view.members_by_address
         for member in [m for m in found if m.address not in known]:
             self._control.meet(member)
-        reached = 0
-        for member in self._rng.sample(found, len(found)):
-            reached += await self._control.reconcile(member.address)
-            if reached >= PEERS_TO_JOIN:
-                break
+        self.joined.set()
+        others = self._rng.sample(found, min(PEERS_TO_JOIN, len(found)))
+        await asyncio.gather(*(self._control.reconcile(m.address) for m in others))
         self._control.announce_everywhere()
 
     async def _sweep(self) -> None:
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -6,9 +6,11 @@
 from typing import NamedTuple
 
 from hornbeamgw.core.membership import Member
+from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.verdict import Failure
 
 NO_OBJECTIVE_MS = 3_600_000
+NO_LIMITS = Limits(0, 0, 0)
 
 
 class Hello(NamedTuple):
@@ -29,6 +31,7 @@
     """Ask for an attempt: the head of the request and the start of its body.
 
     The objective (ms) is what is left of it, and the aim its whole; what is left may be negative.
+    The limits are those of the entry in the caller's snapshot, for a receiver that has none yet.
     """
 
     attempt: int
@@ -47,6 +50,7 @@
     priority: int = 0
     came_back: bool = False
     repeat: bool = False
+    limits: Limits = NO_LIMITS
 
 
 class Body(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -192,7 +192,7 @@
         assert link.peer is not None
         now = asyncio.get_running_loop().time()
         attempt_id = AttemptId(link.peer.member, link.peer.incarnation, call.attempt)
-        limits = self._limits(call.entry)
+        limits = self._limits(call.entry) or (call.limits if call.limits.slots else None)
         attempt = _Attempt(attempt_id, link, call)
         if limits is None:
             failure = not_run(Reason.NOT_READY, f"entry {call.entry}", RETRY_AFTER_NOT_READY_MS)
--- a/hornbeamgw/daemon/link.py
+++ b/hornbeamgw/daemon/link.py
@@ -9,8 +9,11 @@
 from hornbeamgw.core.options import split_address
 from hornbeamgw.daemon import codec, frames
 
-HEARTBEAT_AFTER_S = 1.0
-SILENT_AFTER_S = 3.0
+# An answer to a heartbeat takes 3 ms between data centres; a lost packet is sent again after
+# 0.2 s, so that silence of half a second is more than one loss.
+HEARTBEAT_AFTER_S = 0.15
+DOUBTED_AFTER_S = 0.5
+SILENT_AFTER_S = 1.2
 
 
 class LinkLost(Exception):
@@ -99,6 +102,10 @@
         if not self.peer_known.done():
             self.peer_known.set_result(frame)
 
+    def expect(self, now: float) -> None:
+        """Count silence from now on: nothing was waited for until now."""
+        self.received_at = max(self.received_at, now)
+
     def check(self, now: float) -> None:
         """Ask for a sign of life, and break a link that stays silent."""
         idle = now - self.received_at
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -48,7 +48,7 @@
     from hornbeamgw.daemon.metrics import Metrics as StatsdReport
 
 REPORT_EVERY_S = 5.0
-CHECK_EVERY_S = 0.25
+CHECK_EVERY_S = 0.1
 GRACE_AFTER_DRAIN_S = 0.2
 PORT_TRIES = 20
 EXIT_OK = 0
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -29,6 +29,8 @@
 OWN_READ_EVERY = 3
 RECONCILE_EVERY_S = 300.0
 JOIN_TRIES = 3
+PEERS_TO_ASK = 5
+FLOOR_ASK_S = 0.4  # an answer takes a few ms where the store refuses at once
 
 
 def _unready_reason(control: Control) -> str:
@@ -137,6 +139,8 @@
 
     async def answer_floor(self, address: str) -> frames.Floor:
         """Return the floor for the daemon at an address, confirmed where the platform answers."""
+        if self._source.is_whole and versions.is_ready(self._control.versions):
+            return frames.Floor(self._control.versions.catalogue.version, False)
         try:
             head = await self.fresh_head()
             return frames.Floor(head.version, True)
@@ -201,6 +205,10 @@
     async def _find_floor(self, attempt: int) -> None:
         me = self._control.view.me
         local = self._local_peers()
+        if self._source.is_whole:
+            if not await self._floor_from_platform():
+                await self._floor_from_any(self._peers())
+            return
         readers = top("reader", [*local, me], READERS_PER_DATA_CENTRE)
         others = [m for m in readers if m.address != me.address]
         if me in readers or not others or attempt % OWN_READ_EVERY == 0:
@@ -217,6 +225,8 @@
             self._wait_for(f"the platform ({error})")
             return False
         self._control.set_floor(head.version, "read from the platform")
+        if self._source.is_whole:
+            await self.catch_up(head)
         return True
 
     async def _floor_from_reader(self, reader: Member) -> bool:
@@ -232,6 +242,27 @@
         self._control.set_floor(answer.version, f"confirmed by reader {reader.address}")
         return True
 
+    async def _floor_from_any(self, peers: list[Member]) -> None:
+        """Take the newest version that some peers hold, while an outside source is away.
+
+        Its versions bind a daemon from the moment at which it applied them; a daemon that just
+        started has applied none, and a peer that is in touch lags by seconds at most.
+        """
+        asked = self._rng.sample(peers, min(PEERS_TO_ASK, len(peers)))
+        request = frames.FloorRequest(self._control.view.me.address)
+        answers = await asyncio.gather(
+            *(self._control.ask(m.address, request, "floor", FLOOR_ASK_S) for m in asked),
+            return_exceptions=True,
+        )
+        told = [(_floor_answer(a), m) for a, m in zip(answers, asked, strict=True)]
+        held = [(a.version, m) for a, m in told if a is not None and a.version > 0]
+        if not held:
+            self._wait_for("a peer that holds a version, or the platform")
+            return
+        version, holder = max(held)
+        self._control.set_floor(version, f"held by peer {holder.address}")
+        await self._control.pull(holder.address)
+
     async def _floor_from_peers(self, local: list[Member]) -> None:
         """Take what every living peer of the data centre says, while the platform is away."""
         if self._control.versions.floor is not None or not local:
--- a/hornbeamgw/daemon/sources.py
+++ b/hornbeamgw/daemon/sources.py
@@ -39,9 +39,13 @@
 
 
 class Source(Protocol):
-    """Read the newest version and fetch what a daemon lacks; may raise PlatformError."""
+    """Read the newest version and fetch what a daemon lacks; may raise PlatformError.
+
+    A head of a whole source carries its version, so that a reader need not fetch more.
+    """
 
     reads: int
+    is_whole: bool
 
     async def read_head(self) -> SourceHead:
         """Return the newest version, by a read begun after this call."""
@@ -74,6 +78,8 @@
 class CommitSource:
     """Read versions that daemons committed: a head row, deltas and snapshots."""
 
+    is_whole = False
+
     def __init__(
         self,
         control: Control,
@@ -142,6 +148,8 @@
 class WatchedRowSource:
     """Watch the row in which operators keep the newest version whole."""
 
+    is_whole = True
+
     def __init__(self, control: Control, rows: RowStore, row: WatchedRow) -> None:
         """Take the store to watch and the row."""
         self.reads = 0
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -46,6 +46,13 @@
   priority @13 :UInt16;
   cameBack @14 :Bool;
   repeat @15 :Bool;
+  limits @16 :Limits;
+}
+
+struct Limits {
+  slots @0 :UInt16;
+  reserved @1 :UInt16;
+  queue @2 :UInt16;
 }
 
 struct Body {
