--- /dev/null
+++ b/features/outside.feature
@@ -0,0 +1,55 @@
+Feature: Operators write whole versions to one row of the platform's store
+
+  Versions rise unevenly there, daemons have no seeds, and the store may be away.
+
+  Background:
+    Given the store holds version 3, and three daemons start without seeds
+
+  Scenario: They find one another and have the version in force
+    Then all of them have version 3 in force and know one another
+
+  Scenario: A later version reaches all of them within a second
+    When the operator writes version 10 with one more route
+    Then all of them have version 10 in force within 1 second
+
+  Scenario: A version that can't be read leaves the last one in force whole
+    When the operator writes something that is no version
+    And the operator writes version 12 with one more route
+    Then all of them have version 12 in force within 3 seconds
+
+  Scenario: The store forgets its history
+    When the store forgets its history while the operator writes version 11
+    Then all of them have version 11 in force within 3 seconds
+
+  Scenario Outline: The store is away, and comes back
+    Given the store answers with "<fault>"
+    When 2 seconds pass
+    And the store works again with version 20
+    Then all of them have version 20 in force within 3 seconds
+
+    Examples:
+      | fault  |
+      | outage |
+      | busy   |
+      | reset  |
+      | silent |
+
+  Scenario: A daemon that starts while the store is away takes the version of its peers
+    Given the store answers with "outage"
+    When one of them restarts as a new process at the same address
+    Then all of them have version 3 in force within 5 seconds
+
+  Scenario: All restart at once and come back from the store alone
+    When all of them restart as new processes
+    Then all of them have version 3 in force and know one another
+
+  Scenario: A version never goes back
+    When the operator writes version 9 with one more route
+    And all of them have version 9 in force
+    And the row is overwritten with version 4
+    Then all of them still have version 9 in force after 1 second
+
+  Scenario: The row of a daemon that ended is swept, and no other
+    When one of them ends without a word and the others notice
+    And one of the others sweeps
+    Then the rows of the others are left
--- /dev/null
+++ b/features/steps/outside.py
@@ -0,0 +1,203 @@
+"""Steps for versions from outside: daemons against the stand-in store, by the users' adapter."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from behave import given, then, when
+
+from hornbeamgw.core.membership import Status
+from hornbeamgw.daemon import plugins
+from hornbeamgw.daemon.directory import TABLE
+from hornbeamgw.testing.local import LocalFleet, wait_for
+from hornbeamgw.testing.store import StandInStore
+
+plugins.load("platform", ["mesh_platform"])
+
+DAEMONS = 3
+CHECK_S = 0.02
+
+
+def version_of(number, routes=1):
+    resources = [
+        {
+            "resource_kind": "services",
+            "metadata": {"name": "roster"},
+            "spec": {"health_path": "/healthz", "max_conns": 130},
+        }
+    ]
+    for index in range(routes):
+        spec = {"host": "test.example", "prefix": f"/{index}/", "kind": "safe", "service": "roster"}
+        spec |= {"timeout_ms": 500, "slo_ms": 200, "priority": 2, "attempts": 2}
+        resource = {"resource_kind": "routes", "metadata": {"name": f"r-{index}"}, "spec": spec}
+        resources.append(resource)
+    limits = {"resource_kind": "limits", "metadata": {}, "spec": {"idle_timeout_ms": 15000}}
+    return msgspec.json.encode({"version": number, "resources": [*resources, limits]})
+
+
+async def start_daemon(context, address="127.0.0.1:0"):
+    return await context.fleet.start(
+        address=address,
+        seeds=(),
+        directory=True,
+        source="watched_row",
+        platform_adapter="mesh",
+        platform_address=context.store_address,
+        platform_timeout=0.5,
+    )
+
+
+async def known_to_all(context):
+    for daemon in context.living:
+        members = daemon.control.view.members_by_address
+        await wait_for(lambda m=members: len(m) == DAEMONS)
+
+
+async def in_force(context, number, seconds=10.0):
+    async with asyncio.timeout(seconds):
+        for daemon in context.living:
+            while daemon.control.versions.snapshot.version != number:
+                await asyncio.sleep(CHECK_S)
+
+
+@given("the store holds version 3, and three daemons start without seeds")
+def start(context):
+    async def begin():
+        context.store = StandInStore()
+        context.store_address = await context.store.start()
+        context.store.put("op", "config", version_of(3))
+        context.fleet = LocalFleet(context.scenario.name)
+        context.living = [await start_daemon(context) for _ in range(DAEMONS)]
+        await in_force(context, 3)
+        await known_to_all(context)
+
+    async def close():
+        await context.fleet.close()
+        context.store.close()
+
+    context.closers.append(close)
+    context.runner.run(begin())
+
+
+@then("all of them have version {number:d} in force and know one another")
+def all_know(context, number):
+    async def check():
+        await in_force(context, number)
+        await known_to_all(context)
+
+    context.runner.run(check())
+
+
+@then("all of them have version {number:d} in force within {seconds:d} second")
+@then("all of them have version {number:d} in force within {seconds:d} seconds")
+def within(context, number, seconds):
+    context.runner.run(in_force(context, number, seconds))
+
+
+@when("all of them have version {number:d} in force")
+def have(context, number):
+    context.runner.run(in_force(context, number))
+
+
+async def write(context, value):
+    context.store.put("op", "config", value)
+
+
+@when("the operator writes version {number:d} with one more route")
+def writes(context, number):
+    context.runner.run(write(context, version_of(number, routes=2)))
+
+
+@when("the row is overwritten with version {number:d}")
+def overwritten(context, number):
+    context.runner.run(write(context, version_of(number)))
+
+
+@when("the operator writes something that is no version")
+def writes_garbage(context):
+    async def garbage():
+        context.store.put(
+            "op", "config", b'{"version":11,"resources":[{"resource_kind":"routes"}]}'
+        )
+        await asyncio.sleep(0.2)
+
+    context.runner.run(garbage())
+
+
+@when("the store forgets its history while the operator writes version {number:d}")
+def forgets(context, number):
+    async def forget():
+        context.store.put("op", "config", version_of(number))
+        context.store.put("other", "row", b"x")
+        context.store.forget_history()
+
+    context.runner.run(forget())
+
+
+@given('the store answers with "{fault}"')
+def faulty(context, fault):
+    context.store.fault = fault
+
+
+@when("{seconds:d} seconds pass")
+def passes(context, seconds):
+    context.runner.run(asyncio.sleep(seconds))
+
+
+@when("the store works again with version {number:d}")
+def works(context, number):
+    context.store.fault = ""
+    context.runner.run(write(context, version_of(number, routes=2)))
+
+
+async def restart(context, daemon):
+    address = daemon.control.view.me.address
+    await context.fleet.crash(daemon)
+    await asyncio.sleep(0.05)
+    context.living[context.living.index(daemon)] = await start_daemon(context, address)
+
+
+@when("one of them restarts as a new process at the same address")
+def one_restarts(context):
+    context.runner.run(restart(context, context.living[0]))
+
+
+@when("all of them restart as new processes")
+def all_restart(context):
+    async def herd():
+        for daemon in list(context.living):
+            await restart(context, daemon)
+
+    context.runner.run(herd())
+
+
+@then("all of them still have version {number:d} in force after {seconds:d} second")
+def still(context, number, seconds):
+    context.runner.run(asyncio.sleep(seconds))
+    for daemon in context.living:
+        assert daemon.control.versions.snapshot.version == number
+
+
+@when("one of them ends without a word and the others notice")
+def ends(context):
+    async def end():
+        gone = context.living.pop()
+        context.gone = gone.control.view.me.address
+        await context.fleet.crash(gone)
+        for daemon in context.living:
+            members = daemon.control.view.members_by_address
+            await wait_for(lambda m=members: m[context.gone].status >= Status.DEAD)
+
+    context.runner.run(end())
+
+
+@when("one of the others sweeps")
+def sweeps(context):
+    context.runner.run(context.living[0].reader.directory._sweep())
+
+
+@then("the rows of the others are left")
+def left(context):
+    keys = {key for table, key in context.store.rows_by_place if table == TABLE}
+    assert keys == {daemon.control.view.me.address for daemon in context.living}, keys
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -60,7 +60,7 @@
         self.head: SourceHead | None = None
         self._control = control
         self._source = source
-        self._directory = directory
+        self.directory = directory
         self._rng = rng
         self._is_lost = False
         self._next_read: asyncio.Task[SourceHead] | None = None
@@ -174,9 +174,9 @@
 
     async def join_loop(self) -> None:
         """Join by a seed, and compare views now and then for splits that outlive gossip."""
-        if self._directory is not None:
-            self._control.spawn(self._directory.run())
-            await self._directory.joined.wait()
+        if self.directory is not None:
+            self._control.spawn(self.directory.run())
+            await self.directory.joined.wait()
             self._join_tried.set()
             return
         seeds = [a for a in self._control.settings.seeds if a != self._control.view.me.address]
