--- /dev/null
+++ b/features/budget.feature
@@ -0,0 +1,42 @@
+Feature: Retries and splits keep to their bounds without a coordinator
+
+  Scenario: The fleet's repeats stay within the bound whatever is asked
+    Given 11 daemons with a bound of 0.2 and a slack of 62 in 10 seconds
+    When each wants to repeat all of its 40 requests a second for 30 seconds
+    Then no window of 10 seconds holds more repeats than the bound
+    And at least half of the bound was used
+
+  Scenario: Calls of repeated runs are charged where they begin
+    Given 1 daemons with a bound of 0.2 and a slack of 0 in 10 seconds
+    When 100 requests begin beside a server half of whose work is repeated
+    Then no repeat is allowed
+
+  Scenario Outline: A split keeps to its weights
+    Given 5 daemons that share a route "<weights>"
+    When each of them hands out 60 requests
+    Then each part's share is within 0.02 of its weight
+
+    Examples:
+      | weights  |
+      | 90,10    |
+      | 50,30,20 |
+      | 1,1      |
+
+  Scenario: A part of weight 0 gets nothing
+    Given 1 daemons that share a route "1,0"
+    When each of them hands out 50 requests
+    Then each part's share is within 0 of its weight
+
+  Scenario: A caller that comes back is known by the time that it has left
+    Given callers of "lookup" have 500 ms at first
+    When one comes with 499 ms
+    Then it is taken for a first try
+    When one comes with 430 ms
+    Then it has tried for 70 ms
+
+  Scenario: A route whose refused callers never come back is final
+    Given callers of "check" have 200 ms at first
+    When 30 of them are refused and 0 come back
+    Then a refusal is final there
+    When 60 of them are refused and 50 come back
+    Then a refusal is not final there
--- /dev/null
+++ b/features/steps/budget.py
@@ -0,0 +1,133 @@
+"""Steps for retry budgets, splits and returns: plain functions, no network."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from behave import given, then, when
+
+from hornbeamgw.core import retry_budget, returns, split
+from hornbeamgw.core.retry_budget import Bound, BudgetState
+from hornbeamgw.core.snapshot import Entry, Limits, Part, Route
+
+ENTRY = Entry("all", "o", "c", Limits(1, 0, 0))
+
+
+@given("{count:d} daemons with a bound of {ratio:g} and a slack of {slack:d} in {window:g} seconds")
+def daemons(context, count, ratio, slack, window):
+    context.bound = Bound(ratio, slack, window)
+    context.states = [BudgetState(context.bound) for _ in range(count)]
+    for state in context.states:
+        retry_budget.note_members(state, count)
+
+
+@when("each wants to repeat all of its {rate:d} requests a second for {seconds:d} seconds")
+def repeat_all(context, rate, seconds):
+    context.requests, context.repeats = [], []
+    for number in range(rate * seconds):
+        now = number / rate
+        for state in context.states:
+            retry_budget.note_request(state, "roster", now)
+            context.requests.append(now)
+            if retry_budget.take_repeat(state, "roster", now):
+                context.repeats.append(now)
+
+
+def in_window(times, end, window):
+    return sum(end - window < time <= end for time in times)
+
+
+def allowed(context, end):
+    requests = in_window(context.requests, end, context.bound.window)
+    return context.bound.ratio * requests + context.bound.slack
+
+
+@then("no window of {window:d} seconds holds more repeats than the bound")
+def bounded(context, window):
+    for end in range(1, 31):
+        assert in_window(context.repeats, end, window) <= allowed(context, end)
+
+
+@then("at least half of the bound was used")
+def used(context):
+    assert in_window(context.repeats, 20, 10) >= 0.5 * allowed(context, 20)
+
+
+@when("{count:d} requests begin beside a server half of whose work is repeated")
+def inner(context, count):
+    (state,) = context.states
+    for _ in range(count):
+        retry_budget.note_request(state, "roster", 1.0)
+        retry_budget.note_inner_repeat(state, "roster", 0.5, 1.0)
+
+
+@then("no repeat is allowed")
+def none_allowed(context):
+    assert not retry_budget.take_repeat(context.states[0], "roster", 1.0)
+
+
+@given('{count:d} daemons that share a route "{weights}"')
+def route(context, count, weights):
+    parsed = [int(weight) for weight in weights.split(",")]
+    parts = [Part(f"s{i}", w / sum(parsed)) for i, w in enumerate(parsed)]
+    context.weights = {part.service: part.share for part in parts}
+    kept = tuple(part for part in parts if part.share)
+    methods = frozenset({"*"})
+    context.route = Route("r", "h", "/", methods, kept, ENTRY, True, 500, 200, 2, 1)
+    context.splits = [(split.SplitState(), random.Random(seed)) for seed in range(count)]
+
+
+@when("each of them hands out {count:d} requests")
+def hand_out(context, count):
+    context.chosen = Counter(
+        split.choose(state, context.route, rng)
+        for state, rng in context.splits
+        for _ in range(count)
+    )
+
+
+@then("each part's share is within {error:g} of its weight")
+def shares(context, error):
+    total = sum(context.chosen.values())
+    for service, weight in context.weights.items():
+        assert abs(context.chosen[service] / total - weight) <= error + 1e-9, context.chosen
+
+
+@given('callers of "{name}" have {left:d} ms at first')
+def first_tries(context, name, left):
+    context.returns, context.name, context.left = returns.ReturnState(), name, left
+    assert returns.elapsed_before(context.returns, name, left, 0.0) == 0
+
+
+@when("one comes with {left:d} ms")
+def comes(context, left):
+    context.elapsed = returns.elapsed_before(context.returns, context.name, left, 0.1)
+
+
+@then("it is taken for a first try")
+def first(context):
+    assert context.elapsed == 0
+
+
+@then("it has tried for {elapsed:d} ms")
+def tried(context, elapsed):
+    assert abs(context.elapsed - elapsed / 1000) < 1e-9, context.elapsed
+
+
+@when("{refused:d} of them are refused and {back:d} come back")
+def refused(context, refused, back):
+    for _ in range(refused):
+        returns.note_refused(context.returns, context.name)
+    for _ in range(back):
+        returns.elapsed_before(context.returns, context.name, context.left // 2, 0.2)
+
+
+@then("a refusal is final there")
+def final(context):
+    assert returns.is_final(context.returns, context.name)
+
+
+@then("a refusal is not final there")
+def not_final(context):
+    assert not returns.is_final(context.returns, context.name)
--- a/hornbeamgw/core/returns.py
+++ b/hornbeamgw/core/returns.py
@@ -40,8 +40,10 @@
 def elapsed_before(state: ReturnState, route: str, left_ms: int, now: float) -> float:
     """Return how long (s) a caller with this much time left has tried already; 0 for a first."""
     known = state.routes_by_name.setdefault(route, _Route())
-    if left_ms >= known.longest_ms - TOLERANCE_MS or now - known.seen_at > FORGET_AFTER_S:
+    if now - known.seen_at > FORGET_AFTER_S:
         known.longest_ms = left_ms
+    if left_ms >= known.longest_ms - TOLERANCE_MS:
+        known.longest_ms = max(known.longest_ms, left_ms)
         known.seen_at = now
         return 0.0
     known.returned += 1
