--- a/features/hostile.feature
+++ b/features/hostile.feature
@@ -18,6 +18,21 @@
       | GET / HTTP/1.1\r\nHost: a\r\nX: {20000 bytes}\r\n\r\n                      | 431    |
       | POST /bookings HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n    | 400    |
 
+      | GET /slots HTTP/9.9\r\nHost: desk.vatuwaqa.example\r\n\r\n | 505 |
+      | GET /slots HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\nHornbeamgw-Deadline-Ms: soon\r\n\r\n | 400 |
+      | GET /slots/../../x HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\n\r\n | 400 |
+      | GET /slots/%2e%2E/x HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\n\r\n | 400 |
+
+  Scenario Outline: Less usual requests are answered as the standard says
+    When a caller sends "<request>"
+    Then the answer begins with "<line>" and its body is "<body>"
+
+    Examples:
+      | request | line | body |
+      | HEAD /slots HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\nConnection: close\r\n\r\n | HTTP/1.1 503 Service Unavailable | empty |
+      | HEAD /nothing HTTP/1.1\r\nHost: nowhere.example\r\nConnection: close\r\n\r\n | HTTP/1.1 404 Not Found | empty |
+      | GET http://desk.vatuwaqa.example/slots HTTP/1.1\r\nHost: other.example\r\nConnection: close\r\n\r\n | HTTP/1.1 503 Service Unavailable | no_backend |
+
   Scenario: A slow request is refused
     When a caller sends half a head and then nothing
     Then it is told status 408 and the connection is closed
--- a/features/steps/hostile.py
+++ b/features/steps/hostile.py
@@ -54,6 +54,16 @@
     context.received = exchange(context, context.fleet.callers(context.daemon), text.encode())
 
 
+@then('the answer begins with "{line}" and its body is "{body}"')
+def answer_is(context, line, body):
+    head, _, received = context.received.partition(b"\r\n\r\n")
+    assert head.split(b"\r\n")[0] == line.encode(), context.received
+    if body == "empty":
+        assert received == b"", context.received
+    else:
+        assert msgspec.json.decode(received)["reason"] == body, context.received
+
+
 @when("a caller sends half a head and then nothing")
 def send_half(context):
     half = b"GET / HTTP/1.1\r\nHost:"
--- a/hornbeamgw/core/snapshot.py
+++ b/hornbeamgw/core/snapshot.py
@@ -139,11 +139,18 @@
     return prefix.endswith("/") or len(path) == len(prefix) or path[len(prefix)] == "/"
 
 
+def _takes(route: Route, method: str) -> bool:
+    """Return whether a route takes a method; one that takes GET takes HEAD (RFC 9110, 9.3.2)."""
+    if ANY_METHOD in route.methods or method in route.methods:
+        return True
+    return method == "HEAD" and "GET" in route.methods
+
+
 def match(snapshot: Snapshot, host: str, method: str, target: str) -> Route | None:
     """Return the route with the longest prefix that takes this request."""
     path = target.partition("?")[0]
     name = host.partition(":")[0].lower()
     for route in snapshot.routes_by_host.get(name, ()):
-        if (method in route.methods or ANY_METHOD in route.methods) and _covers(route.prefix, path):
+        if _takes(route, method) and _covers(route.prefix, path):
             return route
     return None
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -22,6 +22,7 @@
 from hornbeamgw.core.returns import ReturnState
 from hornbeamgw.core.snapshot import Route, Snapshot, match
 from hornbeamgw.core.split import SplitState
+from hornbeamgw.core.target import parse_target
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames, heads
 from hornbeamgw.daemon.attempts import Attempt, CallerGone, Expired, LinkGone, Links
@@ -178,7 +179,11 @@
         if not view.ready:
             return not_run(Reason.NOT_READY, "no version in force", NOT_READY_RETRY_MS)
         host = (header(request.headers, b"host") or b"").decode("latin-1")
-        method, target = request.method.decode(), request.target.decode("latin-1")
+        method = request.method.decode()
+        try:
+            host, target = parse_target(request.target.decode("latin-1"), host)
+        except ValueError as error:
+            raise BadRequest(400, str(error)) from None
         route = match(view.snapshot, host, method, target)
         if route is None:
             return not_run(Reason.NO_ROUTE, f"{method} {host}{target.partition('?')[0]}")
@@ -186,7 +191,7 @@
         budget = _number(request, self._dialect.retry_budget, retrying.DEFAULT_BUDGET)
         deadline = now + min(allowed, route.deadline_ms) / 1000
         service = split.choose(self._splits, route, self._rng)
-        head = heads.RequestHead(request.method, request.target, self._passed_on(request))
+        head = heads.RequestHead(request.method, target.encode("latin-1"), self._passed_on(request))
         call = _Call(call_id, route, service, head, deadline, min(budget, MAX_RETRY_BUDGET))
         before = returns.elapsed_before(self._returns, route.name, allowed, now)
         call.came_back = before > 0
--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -50,6 +50,7 @@
         self.http = h11.Connection(role, max_incomplete_event_size=MAX_HEAD)
         self.transport: asyncio.Transport | None = None
         self.lost = False
+        self.method = b""
         self.on_lost: Callable[[], None] | None = None
         self._on_open = on_open
         self._waiter: asyncio.Future[None] | None = None
--- a/hornbeamgw/daemon/http_server.py
+++ b/hornbeamgw/daemon/http_server.py
@@ -16,6 +16,7 @@
 log = logging.getLogger(__name__)
 
 OnRequest = Callable[[HttpConnection, h11.Request], Awaitable[None]]
+HTTP_VERSIONS = (b"1.0", b"1.1")
 ADMIN_BODY_LIMIT = 8 * 1024 * 1024
 
 
@@ -43,7 +44,7 @@
     if close:
         framed.append((b"connection", b"close"))
     events: list[h11.Event] = [h11.Response(status_code=status, headers=framed)]
-    if body:
+    if body and connection.method != b"HEAD":
         events.append(h11.Data(data=body))
     connection.send(*events, h11.EndOfMessage())
 
@@ -82,7 +83,11 @@
             raise BadRequest(408, "the request's head did not arrive in time") from None
     if not isinstance(event, h11.Request):
         return None
+    connection.method = event.method
     _check_head_size(event)
+    if event.http_version not in HTTP_VERSIONS:
+        version = event.http_version.decode()
+        raise BadRequest(505, f"HTTP/{version}: expected HTTP/1.0 or HTTP/1.1")
     return event
 
 
