--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -99,6 +99,7 @@
         await asyncio.sleep(0.3)
         daemon.signal(signal.SIGTERM)
         context.code = await daemon.process.wait()
+        await daemon.copying
         context.response = await context.call
 
     context.runner.run(stop())
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -289,6 +289,8 @@
 async def _serve(settings: Settings, print_addresses: bool, path: str) -> int:
     daemon = Daemon(settings, int.from_bytes(os.urandom(8), "big"))
     addresses = await daemon.start()
+    if print_addresses:
+        print(msgspec.json.encode(addresses).decode(), flush=True)
     logs.set_up(settings.log_level, daemon=addresses["address"], data_centre=settings.data_centre)
     running = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -298,8 +300,6 @@
         running.add_signal_handler(signal.SIGHUP, reloader.reload, "SIGHUP")
         daemon.control.spawn(reloader.run())
     log.info("daemon started", extra=addresses)
-    if print_addresses:
-        print(msgspec.json.encode(addresses).decode(), flush=True)
     return await daemon.run()
 
 
--- a/hornbeamgw/testing/fleet.py
+++ b/hornbeamgw/testing/fleet.py
@@ -40,6 +40,7 @@
         """Take the process and the file of its log."""
         self.process = process
         self.log_path = log_path
+        self.copying: asyncio.Task[None] | None = None
         self.said: dict[str, Any] = {}
 
     @property
@@ -100,6 +101,15 @@
     return msgspec.json.decode(response.body)
 
 
+async def _copy_log(child: Child) -> None:
+    """Keep what a process writes on standard output after its first line, to its end."""
+    assert child.process.stdout is not None
+    with child.log_path.open("ab") as log_file:
+        while line := await child.process.stdout.readline():
+            log_file.write(line)
+            log_file.flush()
+
+
 class Fleet:
     """Own the processes of a fleet; use as an asynchronous context."""
 
@@ -167,6 +177,7 @@
         said: dict[str, Any] = msgspec.json.decode(line)
         if key not in said:
             raise RuntimeError(f"expected {key!r} in {said!r}")
+        child.copying = asyncio.create_task(_copy_log(child))
         return said
 
     def _settings(self, place: Place, fixed: dict[str, str] | None) -> dict[str, Any]:
