--- a/features/steps/explaining.py
+++ b/features/steps/explaining.py
@@ -191,8 +191,8 @@
     (ended,) = found(context, "call-1", "call ended")
     assert ended.verdict == verdict and ended.version == 1, vars(ended)
     (placed,) = ended.placed
-    assert placed.server == context.fleet.daemons[1].control.view.me.address
-    assert placed.report_age_ms >= 0
+    assert placed["server"] == context.fleet.daemons[1].control.view.me.address
+    assert placed["report_age_ms"] >= 0
     (attempt,) = found(context, "call-1", "attempt ended")
     assert attempt.held_ms >= 300
 
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -202,7 +202,7 @@
             "version": version,
             "verdict": Verdict.ANSWERED if failure is None else failure.verdict,
             "elapsed_ms": round(elapsed * 1000, 1),
-            "placed": call.placed,
+            "placed": [placed._asdict() for placed in call.placed],
         }
         if call.came_back:
             told["came_back"] = True
