--- a/hornbeamgw/core/registration.py
+++ b/hornbeamgw/core/registration.py
@@ -34,6 +34,27 @@
     instance: str
 
 
+class Announcement(NamedTuple):
+    """Hold what a backend server says of itself, as the daemon beside it goes by it.
+
+    It is taken for gone when it expires, and is slow until it is warm (both by the loop's clock).
+    """
+
+    service: str
+    address: str
+    slots: int
+    connections: int
+    state: ServerState
+    expires_at: float
+    instance: str = ""
+    warm_at: float = 0.0
+
+
+def is_renewal(before: Announcement, after: Announcement) -> bool:
+    """Return whether an announcement says nothing new about the server."""
+    return before == after._replace(expires_at=before.expires_at, warm_at=before.warm_at)
+
+
 class _Known(NamedTuple):
     sequence: int
     is_draining: bool
--- a/hornbeamgw/daemon/attempts.py
+++ b/hornbeamgw/daemon/attempts.py
@@ -17,8 +17,10 @@
 
 log = logging.getLogger(__name__)
 
-DIAL_TIMEOUT_S = 0.5
+# A dial takes two round trips of 3 ms between data centres; a caller of the users has 500 ms.
+DIAL_TIMEOUT_S = 0.2
 RESOLVE_TIMEOUT_S = 1.0
+RESOLVE_LEAST_S = 0.05
 
 
 class LinkGone(NamedTuple):
@@ -145,14 +147,15 @@
                 if attempt.idempotent and not attempt.answered:
                     attempt.events.put(LinkGone())
 
-    async def resolve(self, address: str, attempt: Attempt, now: float) -> Failure:
-        """Ask on a new link what became of an attempt whose link was lost."""
+    async def resolve(
+        self, address: str, attempt: Attempt, now: float, left: float = RESOLVE_TIMEOUT_S
+    ) -> Failure:
+        """Ask on a new link what became of an attempt whose link was lost, within a time (s)."""
+        timeout = max(RESOLVE_LEAST_S, min(RESOLVE_TIMEOUT_S, left))
         age_ms = max(0, round((now - attempt.started) * 1000))
         question = frames.Question(attempt.number, age_ms)
         try:
-            exchanged = await exchange(
-                address, self._hello(), question, self._on_fault, RESOLVE_TIMEOUT_S
-            )
+            exchanged = await exchange(address, self._hello(), question, self._on_fault, timeout)
         except LinkLost as error:
             self.counts["unresolved"] += 1
             return may_have_run(Reason.LINK_LOST, str(error))
--- /dev/null
+++ b/hornbeamgw/daemon/call.py
@@ -0,0 +1,150 @@
+"""Call: one request of a caller, from its head to what became of it."""
+
+from __future__ import annotations
+
+import logging
+import math
+import uuid
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+import h11
+
+from hornbeamgw.core import placement
+from hornbeamgw.core.balancing import Candidate
+from hornbeamgw.core.dialect import Dialect
+from hornbeamgw.core.membership import Member
+from hornbeamgw.core.snapshot import Route, Snapshot
+from hornbeamgw.core.verdict import Failure, Verdict
+from hornbeamgw.daemon import heads
+from hornbeamgw.daemon.attempts import Attempt
+from hornbeamgw.daemon.http1 import Headers, end_to_end, header
+from hornbeamgw.daemon.http_server import BadRequest
+
+log = logging.getLogger(__name__)
+
+
+class View(NamedTuple):
+    """Hold what a call is decided on, as it stands when the call arrives."""
+
+    ready: bool
+    snapshot: Snapshot
+    me: Member
+    members: Sequence[Member]
+    generation: int
+
+
+class Identity(NamedTuple):
+    """Hold how requests are worded here, and the service in whose name they are passed on."""
+
+    dialect: Dialect
+    caller_service: str
+
+
+class Placed(NamedTuple):
+    """Tell where an attempt went and by which report of that daemon; times in ms."""
+
+    server: str
+    free_slots: int | None
+    wait_ms: int
+    report_age_ms: int
+    failing: float
+
+
+def placed_at(chosen: Candidate, now: float) -> Placed:
+    """Return where an attempt goes and by which report."""
+    load = chosen.load
+    age_ms = round((now - load.reported_at) * 1000)
+    failing = round(placement.failing(load, now), 2)
+    wait_ms = round(load.wait * 1000)
+    return Placed(chosen.member.address, load.free_slots, wait_ms, age_ms, failing)
+
+
+class Call:
+    """Hold one call of a caller."""
+
+    def __init__(
+        self,
+        call_id: str,
+        route: Route,
+        service: str,
+        head: heads.RequestHead,
+        deadline: float,
+        budget: int,
+    ) -> None:
+        """Take its head, the route and service it goes to, its deadline and retry budget."""
+        self.call_id = call_id
+        self.route = route
+        self.service = service
+        self.aim = route.objective_ms / 1000
+        self.objective = math.inf
+        self.came_back = False
+        self.retry_after_ms = 0
+        self.arrivals = 0
+        self.refusals = 0
+        self.head = head
+        self.deadline = deadline
+        self.budget = budget
+        self.body = b""
+        self.body_complete = False
+        self.started_stream = False
+        self.current: Attempt | None = None
+        self.caller_gone = False
+        self.expired = False
+        self.tried: list[str] = []
+        self.placed: list[Placed] = []
+        self.status = 0
+
+
+def call_id_of(request: h11.Request, name: bytes) -> str:
+    """Return the id that a caller gave in a header, or a new one."""
+    given = header(request.headers, name)
+    return given.decode("latin-1")[:64] if given else uuid.uuid4().hex[:16]
+
+
+def number_of(request: h11.Request, name: bytes, default: int) -> int:
+    """Return the whole number in a header; raise BadRequest."""
+    given = header(request.headers, name) if name else None
+    if given is None:
+        return default
+    if not given.isdigit():
+        raise BadRequest(400, f"{name.decode()}: got {given!r}, expected a whole number")
+    return int(given)
+
+
+def passed_on(request: h11.Request, identity: Identity) -> Headers:
+    """Return the headers of a request for the backend server, but for those of each attempt."""
+    dialect = identity.dialect
+    replaced = dialect.set_by_daemons | {dialect.call_id, b"expect"}
+    kept = [h for h in end_to_end(request.headers) if h[0] not in replaced]
+    if dialect.caller_service:
+        kept.append((dialect.caller_service, identity.caller_service.encode()))
+    return kept
+
+
+def log_end(call: Call, failure: Failure | None, elapsed: float, version: int) -> None:
+    """Tell how a call ended (elapsed in s) and what decided where it went."""
+    told: dict[str, Any] = {
+        "call_id": call.call_id,
+        "route": call.route.name,
+        "service": call.service,
+        "version": version,
+        "verdict": Verdict.ANSWERED if failure is None else failure.verdict,
+        "elapsed_ms": round(elapsed * 1000, 1),
+        "placed": [placed._asdict() for placed in call.placed],
+    }
+    if call.came_back:
+        told["came_back"] = True
+    if failure is None:
+        told["status"] = call.status
+    else:
+        told["reason"] = failure.reason
+        told["detail"] = failure.detail
+        told["retry_after_ms"] = failure.retry_after_ms
+    log.info("call ended", extra=told)
+
+
+def log_refused(call_id: str, failure: Failure, version: int) -> None:
+    """Tell why a request was refused before any attempt."""
+    told = {"reason": failure.reason, "detail": failure.detail, "version": version}
+    log.info("call refused", extra={"call_id": call_id, **told})
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -4,34 +4,43 @@
 
 import asyncio
 import logging
-import math
 import random
-import uuid
 from collections import Counter
-from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
+from collections.abc import Callable
 
 import h11
 
 from hornbeamgw.core import balancing, placement, retry_budget, retrying, returns, split
 from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load
-from hornbeamgw.core.dialect import Dialect
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.placement import PlacementState
 from hornbeamgw.core.retry_budget import BudgetState
 from hornbeamgw.core.returns import ReturnState
-from hornbeamgw.core.snapshot import Route, Snapshot, match
+from hornbeamgw.core.snapshot import match
 from hornbeamgw.core.split import SplitState
 from hornbeamgw.core.target import parse_target
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
-from hornbeamgw.daemon import frames, heads
+from hornbeamgw.daemon import frames, heads, relay
 from hornbeamgw.daemon.attempts import Attempt, CallerGone, Expired, LinkGone, Links
+from hornbeamgw.daemon.call import (
+    Call,
+    Identity,
+    View,
+    call_id_of,
+    log_end,
+    log_refused,
+    number_of,
+    passed_on,
+    placed_at,
+)
 from hornbeamgw.daemon.failures import send_failure
 from hornbeamgw.daemon.histograms import Histograms
-from hornbeamgw.daemon.http1 import ConnectionLost, Headers, HttpConnection, end_to_end, header
+from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, header
 from hornbeamgw.daemon.http_server import BadRequest
 from hornbeamgw.daemon.link import LinkLost
 
+__all__ = ["Calls", "Identity", "View"]
+
 log = logging.getLogger(__name__)
 
 GATE_MARGIN = 0.05
@@ -52,76 +61,6 @@
 RETURN_MIN_MS = 10
 
 
-class View(NamedTuple):
-    """Hold what a call is decided on, as it stands when the call arrives."""
-
-    ready: bool
-    snapshot: Snapshot
-    me: Member
-    members: Sequence[Member]
-    generation: int
-
-
-class Identity(NamedTuple):
-    """Hold how requests are worded here, and the service in whose name they are passed on."""
-
-    dialect: Dialect
-    caller_service: str
-
-
-class Placed(NamedTuple):
-    """Tell where an attempt went and by which report of that daemon; times in ms."""
-
-    server: str
-    free_slots: int | None
-    wait_ms: int
-    report_age_ms: int
-    failing: float
-
-
-def _placed(chosen: Candidate, now: float) -> Placed:
-    load = chosen.load
-    age_ms = round((now - load.reported_at) * 1000)
-    failing = round(placement.failing(load, now), 2)
-    wait_ms = round(load.wait * 1000)
-    return Placed(chosen.member.address, load.free_slots, wait_ms, age_ms, failing)
-
-
-class _Call:
-    """Hold one call of a caller."""
-
-    def __init__(
-        self,
-        call_id: str,
-        route: Route,
-        service: str,
-        head: heads.RequestHead,
-        deadline: float,
-        budget: int,
-    ) -> None:
-        self.call_id = call_id
-        self.route = route
-        self.service = service
-        self.aim = route.objective_ms / 1000
-        self.objective = math.inf
-        self.came_back = False
-        self.retry_after_ms = 0
-        self.arrivals = 0
-        self.refusals = 0
-        self.head = head
-        self.deadline = deadline
-        self.budget = budget
-        self.body = b""
-        self.body_complete = False
-        self.started_stream = False
-        self.current: Attempt | None = None
-        self.caller_gone = False
-        self.expired = False
-        self.tried: list[str] = []
-        self.placed: list[Placed] = []
-        self.status = 0
-
-
 class Calls:
     """Own the callers' connections and what this daemon saw of each backend server."""
 
@@ -161,14 +100,15 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         view = self._view()
-        call_id = _call_id(request, self._dialect.call_id)
+        call_id = call_id_of(request, self._dialect.call_id)
         found = self._open(view, request, call_id, started)
-        if isinstance(found, _Call):
+        if isinstance(found, Call):
             retry_budget.note_request(self._budget, found.service, started)
             share = self._repeat_share()
             retry_budget.note_inner_repeat(self._budget, found.service, share, started)
         if isinstance(found, Failure):
-            self._log_refused(found, call_id, view.snapshot.version)
+            self.counts[f"failed.{found.reason}"] += 1
+            log_refused(call_id, found, view.snapshot.version)
             self._fail(connection, found, call_id)
             return
         try:
@@ -188,33 +128,12 @@
         verdict = Verdict.ANSWERED if failure is None else failure.verdict
         self.histograms.record(owner, verdict, elapsed)
         self.counts[f"calls.{verdict}"] += 1
-        self._log_end(found, failure, elapsed, view.snapshot.version)
+        log_end(found, failure, elapsed, view.snapshot.version)
         if failure is not None:
             self.counts[f"failed.{failure.reason}"] += 1
             self._fail(connection, failure, call_id)
 
-    def _log_end(self, call: _Call, failure: Failure | None, elapsed: float, version: int) -> None:
-        """Tell how a call ended and what decided where it went."""
-        told: dict[str, Any] = {
-            "call_id": call.call_id,
-            "route": call.route.name,
-            "service": call.service,
-            "version": version,
-            "verdict": Verdict.ANSWERED if failure is None else failure.verdict,
-            "elapsed_ms": round(elapsed * 1000, 1),
-            "placed": [placed._asdict() for placed in call.placed],
-        }
-        if call.came_back:
-            told["came_back"] = True
-        if failure is None:
-            told["status"] = call.status
-        else:
-            told["reason"] = failure.reason
-            told["detail"] = failure.detail
-            told["retry_after_ms"] = failure.retry_after_ms
-        log.info("call ended", extra=told)
-
-    def _open(self, view: View, request: h11.Request, call_id: str, now: float) -> _Call | Failure:
+    def _open(self, view: View, request: h11.Request, call_id: str, now: float) -> Call | Failure:
         if not view.ready:
             return not_run(Reason.NOT_READY, "no version in force", NOT_READY_RETRY_MS)
         host = (header(request.headers, b"host") or b"").decode("latin-1")
@@ -226,26 +145,20 @@
         route = match(view.snapshot, host, method, target)
         if route is None:
             return not_run(Reason.NO_ROUTE, f"{method} {host}{target.partition('?')[0]}")
-        allowed = _number(request, self._dialect.deadline_ms, route.deadline_ms)
-        budget = _number(request, self._dialect.retry_budget, retrying.DEFAULT_BUDGET)
+        allowed = number_of(request, self._dialect.deadline_ms, route.deadline_ms)
+        budget = number_of(request, self._dialect.retry_budget, retrying.DEFAULT_BUDGET)
         deadline = now + min(allowed, route.deadline_ms) / 1000
         service = split.choose(self._splits, route, self._rng)
-        head = heads.RequestHead(request.method, target.encode("latin-1"), self._passed_on(request))
-        call = _Call(call_id, route, service, head, deadline, min(budget, MAX_RETRY_BUDGET))
+        head = heads.RequestHead(
+            request.method, target.encode("latin-1"), passed_on(request, self._identity)
+        )
+        call = Call(call_id, route, service, head, deadline, min(budget, MAX_RETRY_BUDGET))
         before = returns.elapsed_before(self._returns, route.name, allowed, now)
         call.came_back = before > 0
         call.objective = now + call.aim - before
         return call
 
-    def _passed_on(self, request: h11.Request) -> Headers:
-        replaced = self._dialect.set_by_daemons | {self._dialect.call_id, b"expect"}
-        kept = [h for h in end_to_end(request.headers) if h[0] not in replaced]
-        if self._dialect.caller_service:
-            service = self._identity.caller_service.encode()
-            kept.append((self._dialect.caller_service, service))
-        return kept
-
-    async def _read_body(self, connection: HttpConnection, call: _Call) -> None:
+    async def _read_body(self, connection: HttpConnection, call: Call) -> None:
         chunks: list[bytes] = []
         size = 0
         _answer_expect(connection)
@@ -259,18 +172,18 @@
                 size += len(event.data)
         call.body = b"".join(chunks)
 
-    def _expire(self, call: _Call) -> None:
+    def _expire(self, call: Call) -> None:
         call.expired = True
         if call.current is not None:
             call.current.events.put(Expired())
 
-    def _leave(self, call: _Call) -> None:
+    def _leave(self, call: Call) -> None:
         call.caller_gone = True
         if call.current is not None:
             call.current.events.put(CallerGone())
 
     async def _attempt_until_done(
-        self, connection: HttpConnection, call: _Call, view: View
+        self, connection: HttpConnection, call: Call, view: View
     ) -> Failure | None:
         loop = asyncio.get_running_loop()
         last: Failure | None = None
@@ -297,7 +210,7 @@
                 await asyncio.sleep(retry.delay)
             view = self._view()._replace(snapshot=view.snapshot)
 
-    def _with_return(self, call: _Call, failure: Failure) -> Failure:
+    def _with_return(self, call: Call, failure: Failure) -> Failure:
         """Tell a caller whose request did not run when there will be room, each a bit later."""
         if failure.verdict is not Verdict.NOT_RUN or not call.retry_after_ms:
             return failure
@@ -305,7 +218,7 @@
         wait = max(RETURN_MIN_MS, round(call.retry_after_ms * spread))
         return failure._replace(retry_after_ms=wait)
 
-    def _retry(self, call: _Call, failure: Failure, now: float) -> retrying.Retry | None:
+    def _retry(self, call: Call, failure: Failure, now: float) -> retrying.Retry | None:
         """Return a retry where the call, the route and the fleet's budget allow one."""
         if call.refusals >= MAX_REFUSALS or call.arrivals >= call.route.attempts:
             return None
@@ -339,19 +252,19 @@
     def _load(self, member: Member, now: float) -> Load:
         return self._loads_by_address.setdefault(member.address, Load(now))
 
-    def _place(self, call: _Call, view: View, now: float) -> Candidate | None:
+    def _place(self, call: Call, view: View, now: float) -> Candidate | None:
         candidates = self._candidates(view, call.service, now)
         traits = placement.traits_of(self._placement, call.route.name, call.aim)
         choice = Choice(view.me, candidates, call.tried, traits, call.aim, now)
         return self._choose(choice, self._rng)
 
     async def _attempt(
-        self, connection: HttpConnection, call: _Call, chosen: Candidate
+        self, connection: HttpConnection, call: Call, chosen: Candidate
     ) -> Failure | None:
         loop = asyncio.get_running_loop()
         address = chosen.member.address
         call.tried.append(address)
-        call.placed.append(_placed(chosen, loop.time()))
+        call.placed.append(placed_at(chosen, loop.time()))
         try:
             link = await self._links.link_to(address)
         except LinkLost as error:
@@ -371,7 +284,7 @@
             call.current = None
             self._links.end(attempt)
 
-    def _send_call(self, attempt: Attempt, call: _Call, remaining: float) -> None:
+    def _send_call(self, attempt: Attempt, call: Call, remaining: float) -> None:
         margin = min(GATE_MARGIN_MAX_S, remaining * GATE_MARGIN)
         frame = frames.Call(
             attempt.number,
@@ -395,18 +308,18 @@
         attempt.load.sent_since += 1
         attempt.link.send(frame)
 
-    def _objective_ms(self, call: _Call) -> int:
+    def _objective_ms(self, call: Call) -> int:
         """Return what is left of the objective; past it, how long ago it passed, negative."""
         left = call.objective - asyncio.get_running_loop().time()
         return max(-frames.NO_OBJECTIVE_MS, round(left * 1000))
 
     async def _await_answer(
-        self, connection: HttpConnection, call: _Call, attempt: Attempt, address: str
+        self, connection: HttpConnection, call: Call, attempt: Attempt, address: str
     ) -> Failure | None:
         loop = asyncio.get_running_loop()
         upload: asyncio.Task[None] | None = None
         if not call.body_complete:
-            upload = asyncio.create_task(self._upload(connection, call, attempt))
+            upload = asyncio.create_task(relay.upload(connection, call, attempt))
         try:
             event = await attempt.events.get()
             if isinstance(event, frames.Reply):
@@ -414,17 +327,17 @@
                 self._note_reply(call, attempt, event)
                 await self._relay(connection, call, attempt, event)
                 return None
-            failure = await self._failure_of(event, attempt, address)
+            failure = await self._failure_of(event, attempt, address, call.deadline)
         finally:
             if upload is not None:
                 upload.cancel()
         self._note_failure(attempt, failure, loop.time())
         return failure
 
-    def _note_reply(self, call: _Call, attempt: Attempt, reply: frames.Reply) -> None:
+    def _note_reply(self, call: Call, attempt: Attempt, reply: frames.Reply) -> None:
         now = asyncio.get_running_loop().time()
         traits = placement.traits_of(self._placement, call.route.name, call.aim)
-        size = len(call.body) + _size_of(reply)
+        size = len(call.body) + relay.size_of(reply)
         call.status = reply.status
         failed = reply.status >= SERVER_ERROR
         placement.note_outcome(attempt.load, failed, now)
@@ -439,7 +352,9 @@
         if failure.reason in SERVER_FAULTS:
             placement.note_outcome(attempt.load, True, now)
 
-    async def _failure_of(self, event: object, attempt: Attempt, address: str) -> Failure:
+    async def _failure_of(
+        self, event: object, attempt: Attempt, address: str, deadline: float
+    ) -> Failure:
         if isinstance(event, frames.Refusal):
             return event.failure
         if isinstance(event, LinkGone) and attempt.idempotent:
@@ -447,65 +362,23 @@
             return may_have_run(Reason.LINK_LOST, "the link is silent or lost")
         if isinstance(event, LinkGone):
             now = asyncio.get_running_loop().time()
-            return await self._links.resolve(address, attempt, now)
+            return await self._links.resolve(address, attempt, now, deadline - now)
         attempt.link.send(frames.Cancel(attempt.number))
         if isinstance(event, CallerGone):
             return may_have_run(Reason.CALLER_GONE)
         return may_have_run(Reason.DEADLINE, "no answer within the deadline")
 
-    async def _upload(self, connection: HttpConnection, call: _Call, attempt: Attempt) -> None:
-        while True:
-            await attempt.upload.take(0)
-            call.started_stream = True
-            event = await connection.next_event()
-            if isinstance(event, h11.Data):
-                await attempt.upload.take(len(event.data))
-                attempt.link.send(frames.Body(attempt.number, bytes(event.data), False))
-            elif isinstance(event, h11.EndOfMessage):
-                attempt.link.send(frames.Body(attempt.number, b"", True))
-                return
-
     async def _relay(
-        self, connection: HttpConnection, call: _Call, attempt: Attempt, reply: frames.Reply
+        self, connection: HttpConnection, call: Call, attempt: Attempt, reply: frames.Reply
     ) -> None:
-        headers = heads.decode_headers(reply.head)
-        headers.append((heads.CALL_ID, call.call_id.encode()))
-        if self.draining:
-            headers.append((b"connection", b"close"))
-        events: list[h11.Event] = [h11.Response(status_code=reply.status, headers=headers)]
-        if reply.body:
-            events.append(h11.Data(data=reply.body))
-        if reply.end:
-            events.append(h11.EndOfMessage())
         try:
-            connection.send(*events)
-            if not reply.end:
-                attempt.link.send(frames.Credit(attempt.number, len(reply.body)))
-                await self._relay_rest(connection, attempt)
+            await relay.answer(connection, call, attempt, reply, self.draining)
         except (ConnectionLost, h11.LocalProtocolError) as error:
             self.counts["broken_answers"] += 1
             log.warning("answer broken off", extra={"call_id": call.call_id, "error": str(error)})
             attempt.link.send(frames.Cancel(attempt.number))
             connection.abort()
 
-    async def _relay_rest(self, connection: HttpConnection, attempt: Attempt) -> None:
-        while True:
-            event = await attempt.events.get()
-            if not isinstance(event, frames.Body):
-                raise ConnectionLost(f"{type(event).__name__} before the end of the answer")
-            if event.data:
-                connection.send(h11.Data(data=event.data))
-                await connection.drain()
-                attempt.link.send(frames.Credit(attempt.number, len(event.data)))
-            if event.end:
-                connection.send(h11.EndOfMessage())
-                return
-
-    def _log_refused(self, failure: Failure, call_id: str, version: int) -> None:
-        self.counts[f"failed.{failure.reason}"] += 1
-        told = {"reason": failure.reason, "detail": failure.detail, "version": version}
-        log.info("call refused", extra={"call_id": call_id, **told})
-
     def _fail(self, connection: HttpConnection, failure: Failure, call_id: str) -> None:
         send_failure(connection, failure, call_id, self._dialect, self.draining)
 
@@ -519,27 +392,6 @@
     return min(earlier_ms, later_ms) if earlier_ms and later_ms else earlier_ms or later_ms
 
 
-def _size_of(reply: frames.Reply) -> int:
-    if reply.end:
-        return len(reply.head) + len(reply.body)
-    length = header(heads.decode_headers(reply.head), b"content-length") or b""
-    return int(length) if length.isdigit() else len(reply.body)
-
-
-def _call_id(request: h11.Request, name: bytes) -> str:
-    given = header(request.headers, name)
-    return given.decode("latin-1")[:64] if given else uuid.uuid4().hex[:16]
-
-
-def _number(request: h11.Request, name: bytes, default: int) -> int:
-    given = header(request.headers, name) if name else None
-    if given is None:
-        return default
-    if not given.isdigit():
-        raise BadRequest(400, f"{name.decode()}: got {given!r}, expected a whole number")
-    return int(given)
-
-
 def _answer_expect(connection: HttpConnection) -> None:
     if connection.http.they_are_waiting_for_100_continue:
         connection.send(h11.InformationalResponse(status_code=100, headers=[]))
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -7,47 +7,31 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
-from typing import NamedTuple
 
 import h11
 import msgspec
 
 from hornbeamgw.core import admission
 from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
-from hornbeamgw.core.dialect import HORNBEAMGW, Answer, Dialect, belongs_to, says_not_run, spoilt
+from hornbeamgw.core.dialect import HORNBEAMGW, Dialect
 from hornbeamgw.core.membership import ServerState
+from hornbeamgw.core.registration import Announcement, is_renewal
 from hornbeamgw.core.snapshot import Limits, Snapshot
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
-from hornbeamgw.daemon import frames, heads
+from hornbeamgw.daemon import frames, heads, server_answer
 from hornbeamgw.daemon.backend_pool import BackendPool
 from hornbeamgw.daemon.flow import WINDOW, Mailbox, Window
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end, header
 from hornbeamgw.daemon.link import Link
 
+__all__ = ["Announcement", "Gate"]
+
 log = logging.getLogger(__name__)
 
 RETRY_AFTER_NOT_READY_MS = 20
 MAX_WAIT_MS = 60_000
 
 
-class Announcement(NamedTuple):
-    """Hold what a backend server says of itself."""
-
-    service: str
-    address: str
-    slots: int
-    connections: int
-    state: ServerState
-    expires_at: float
-    instance: str = ""
-    warm_at: float = 0.0
-
-
-def _is_renewal(before: Announcement, after: Announcement) -> bool:
-    """Return whether an announcement says nothing new about the server."""
-    return before == after._replace(expires_at=before.expires_at, warm_at=before.warm_at)
-
-
 class _Attempt:
     """Hold one attempt of another daemon, from its arrival to its end."""
 
@@ -104,7 +88,7 @@
         if announcement.state is ServerState.DRAINING and not draining:
             self.drain("announced by the backend server")
         self.state.server_state = announcement.state
-        if before is None or not _is_renewal(before, announcement):
+        if before is None or not is_renewal(before, announcement):
             log.info("backend server announced", extra={"announcement": announcement._asdict()})
             self._on_server_change()
 
@@ -353,64 +337,11 @@
     def _send_request(
         self, connection: HttpConnection, call: frames.Call, deadline: float
     ) -> list[h11.Event]:
-        head = heads.decode_request(call.head)
-        left_ms = max(1, round((deadline - asyncio.get_running_loop().time()) * 1000))
+        left = deadline - asyncio.get_running_loop().time()
         instance = self.announcement.instance if self.announcement is not None else ""
-        named = [
-            (self.dialect.call_id, call.call_id.encode()),
-            (self.dialect.deadline_ms, str(left_ms).encode()),
-            (self.dialect.retry_budget, str(call.retry_budget).encode()),
-            (self.dialect.expected_instance, instance.encode()),
-        ]
-        headers = [*head.headers, *((name, value) for name, value in named if name and value)]
-        if header(headers, b"content-length") is None and (call.body or not call.end):
-            headers.append((b"transfer-encoding", b"chunked"))
-        events: list[h11.Event] = [
-            h11.Request(method=head.method, target=head.target, headers=headers)
-        ]
-        if call.body:
-            events.append(h11.Data(data=call.body))
-        if call.end:
-            events.append(h11.EndOfMessage())
+        events = server_answer.request_events(call, self.dialect, instance, left)
         connection.send(*events)
-        attempt_bytes = events if call.end else []
-        return attempt_bytes
-
-    async def _next_head(
-        self, attempt: _Attempt, connection: HttpConnection, sent: list[h11.Event]
-    ) -> h11.Response:
-        """Return the head of the answer to this request, past any that belongs to another."""
-        call_id = attempt.call.call_id.encode()
-        while True:
-            event = await connection.next_event()
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if not isinstance(event, h11.Response):
-                raise ConnectionLost
-            if belongs_to(self.dialect, Answer(event.status_code, event.headers), call_id):
-                return event
-            self.counts["foreign_answers"] += 1
-            log.warning("answer to another request", extra={"call_id": attempt.call.call_id})
-            while not isinstance(event, h11.EndOfMessage):
-                event = await connection.next_event()
-                if isinstance(event, h11.ConnectionClosed):
-                    raise ConnectionLost
-            if not sent:
-                raise ConnectionLost
-            connection.expect_again(*sent)
-
-    def _judge(self, attempt: _Attempt, head: h11.Response) -> Failure | None:
-        """Return a failure where an answer is none, or says that the request did not run."""
-        answer = Answer(head.status_code, head.headers)
-        if says_not_run(self.dialect, answer):
-            other = self.dialect.other_instance_status
-            if head.status_code == other and self.announcement is not None:
-                self.on_replaced(self.announcement.instance)
-            detail = f"status {head.status_code}"
-            failure = not_run(Reason.BACKEND_REFUSED, detail, RETRY_AFTER_NOT_READY_MS)
-            return failure._replace(reached_server=True)
-        why = spoilt(self.dialect, answer, attempt.call.call_id.encode())
-        return may_have_run(Reason.BACKEND_BROKE, why) if why else None
+        return events if call.end else []
 
     def _held_ms(self, attempt: _Attempt) -> int:
         now = asyncio.get_running_loop().time()
@@ -419,10 +350,15 @@
     async def _relay_reply(
         self, attempt: _Attempt, connection: HttpConnection, sent: list[h11.Event]
     ) -> Failure | None:
-        event = await self._next_head(attempt, connection, sent)
+        call_id = attempt.call.call_id
+        event, foreign = await server_answer.next_head(connection, self.dialect, call_id, sent)
+        self.counts["foreign_answers"] += foreign
         self.pool.note_keep_alive(connection, header(event.headers, b"keep-alive"))
-        failure = self._judge(attempt, event)
-        body, end = _take_arrived(connection)
+        failure = server_answer.judge(self.dialect, event, call_id)
+        other = self.dialect.other_instance_status
+        if failure is not None and event.status_code == other and self.announcement is not None:
+            self.on_replaced(self.announcement.instance)
+        body, end = server_answer.take_arrived(connection)
         if failure is not None:
             return failure
         reply = frames.Reply(
@@ -438,35 +374,12 @@
         attempt.replied = True
         attempt.window.available -= len(body)
         while not end:
-            body, end = await _next_part(connection)
+            body, end = await server_answer.next_part(connection)
             await attempt.window.take(len(body))
             attempt.link.send(frames.Body(attempt.call.attempt, body, end))
         return None
 
 
-def _take_arrived(connection: HttpConnection) -> tuple[bytes, bool]:
-    chunks: list[bytes] = []
-    while True:
-        event = connection.poll()
-        if isinstance(event, h11.Data):
-            chunks.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return b"".join(chunks), True
-        elif event is None:
-            return b"".join(chunks), False
-        else:
-            raise ConnectionLost
-
-
-async def _next_part(connection: HttpConnection) -> tuple[bytes, bool]:
-    event = await connection.next_event()
-    if isinstance(event, h11.Data):
-        return bytes(event.data), False
-    if isinstance(event, h11.EndOfMessage):
-        return b"", True
-    raise ConnectionLost
-
-
 async def _pump_body(attempt: _Attempt, connection: HttpConnection) -> None:
     while True:
         part = await attempt.bodies.get()
--- /dev/null
+++ b/hornbeamgw/daemon/relay.py
@@ -0,0 +1,65 @@
+"""Relay: carries bodies between a caller's connection and an attempt."""
+
+from __future__ import annotations
+
+import h11
+
+from hornbeamgw.daemon import frames, heads
+from hornbeamgw.daemon.attempts import Attempt
+from hornbeamgw.daemon.call import Call
+from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, header
+
+
+async def upload(connection: HttpConnection, call: Call, attempt: Attempt) -> None:
+    """Carry the rest of a request's body, as far as the other side grants it."""
+    while True:
+        await attempt.upload.take(0)
+        call.started_stream = True
+        event = await connection.next_event()
+        if isinstance(event, h11.Data):
+            await attempt.upload.take(len(event.data))
+            attempt.link.send(frames.Body(attempt.number, bytes(event.data), False))
+        elif isinstance(event, h11.EndOfMessage):
+            attempt.link.send(frames.Body(attempt.number, b"", True))
+            return
+
+
+async def answer(
+    connection: HttpConnection, call: Call, attempt: Attempt, reply: frames.Reply, close: bool
+) -> None:
+    """Carry an answer to its end; raise ConnectionLost where either side breaks off."""
+    headers = heads.decode_headers(reply.head)
+    headers.append((heads.CALL_ID, call.call_id.encode()))
+    if close:
+        headers.append((b"connection", b"close"))
+    events: list[h11.Event] = [h11.Response(status_code=reply.status, headers=headers)]
+    if reply.body:
+        events.append(h11.Data(data=reply.body))
+    if reply.end:
+        events.append(h11.EndOfMessage())
+    connection.send(*events)
+    if not reply.end:
+        attempt.link.send(frames.Credit(attempt.number, len(reply.body)))
+        await _rest(connection, attempt)
+
+
+async def _rest(connection: HttpConnection, attempt: Attempt) -> None:
+    while True:
+        event = await attempt.events.get()
+        if not isinstance(event, frames.Body):
+            raise ConnectionLost(f"{type(event).__name__} before the end of the answer")
+        if event.data:
+            connection.send(h11.Data(data=event.data))
+            await connection.drain()
+            attempt.link.send(frames.Credit(attempt.number, len(event.data)))
+        if event.end:
+            connection.send(h11.EndOfMessage())
+            return
+
+
+def size_of(reply: frames.Reply) -> int:
+    """Return the bytes of an answer, as far as its head tells."""
+    if reply.end:
+        return len(reply.head) + len(reply.body)
+    length = header(heads.decode_headers(reply.head), b"content-length") or b""
+    return int(length) if length.isdigit() else len(reply.body)
