--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 
 from behave import given, then, when
 
-from hornbeamgw.core import admission, balancing, placement
-from hornbeamgw.core.admission import Admitted, AttemptId, Refused, Request
+from hornbeamgw.core import balancing, placement
 from hornbeamgw.core.balancing import Candidate, Choice, Load
-from hornbeamgw.core.membership import Member, ServerState
-from hornbeamgw.core.snapshot import Limits
+from hornbeamgw.core.membership import Member
+from hornbeamgw.testing import simulated
+from hornbeamgw.testing.simulated import Fleet, Kind
 
 AIM = 0.2
 NORMAL = 0.06
 ME = Member("me", "suva-1", "fiji", 1)
-WIDE = Limits(10_000, 0, 64)
 
 
 def server(name, data_centre, slots=6):
@@ -99,77 +97,15 @@
 )
 def five(context, factor):
     context.speeds = (0.5, 1.0, 1.0, 1.5, 1.0)
-    context.rate = factor * sum(context.speeds) * 6 / NORMAL
-
-
-def simulate(context, name, daemons, seconds):
-    """Return how many lookups end in time; reports come with each answer, as on the wire."""
-    rng = random.Random(3)
-    choose = balancing.chooser_of(name)
-    servers = [server(f"s{i}", f"suva-{i % 3}") for i in range(len(context.speeds))]
-    states = []
-    for _ in servers:
-        state = admission.AdmissionState("objective")
-        state.service, state.slots, state.server_state = "s", 6, ServerState.SERVING
-        states.append(state)
-    loads = [[Load(0.0) for _ in servers] for _ in range(daemons)]
-    traits = [placement.RouteTraits(AIM) for _ in range(daemons)]
-    running, info, in_time, number, now = [], {}, 0, 0, 0.0
-
-    def report(index, daemon, at):
-        state = states[index]
-        wait = admission.expected_wait(state, at)
-        placement.note_report(loads[daemon][index], admission.free_slots(state), wait, at)
-
-    def begin(index, decisions, at):
-        for decision in decisions:
-            if isinstance(decision, Admitted):
-                attempt = decision.request.attempt
-                work = info[attempt][1] / context.speeds[index]
-                heapq.heappush(running, (at + work, attempt, index, at, decision.request))
-
-    def finish_until(limit):
-        nonlocal in_time
-        while running and running[0][0] <= limit:
-            end, attempt, index, began, request = heapq.heappop(running)
-            daemon = info[attempt][0]
-            loads[daemon][index].outstanding -= 1
-            in_time += end <= request.objective
-            begin(index, admission.finish(states[index], attempt, began, end), end)
-            placement.note_answer(traits[daemon], loads[daemon][index], end - began, 1500)
-            report(index, daemon, end)
-
-    while now < seconds:
-        now += rng.expovariate(context.rate)
-        finish_until(now)
-        daemon, tried = rng.randrange(daemons), []
-        for _ in range(3):
-            candidates = [
-                Candidate(m, load) for m, load in zip(servers, loads[daemon], strict=True)
-            ]
-            choice = Choice(ME, candidates, tried, traits[daemon], AIM, now)
-            chosen = choose(choice, rng)
-            index = servers.index(chosen.member)
-            tried.append(chosen.member.address)
-            number += 1
-            attempt = AttemptId("a", daemon, number)
-            info[attempt] = (daemon, rng.lognormvariate(0, 0.5) * NORMAL / 1.13)
-            request = Request(attempt, "all", WIDE, now + 0.5, "lookup", now + AIM, AIM, 1)
-            chosen.load.sent_since += 1
-            decision = admission.admit(states[index], request, "s", now)
-            if not isinstance(decision, Refused):
-                chosen.load.outstanding += 1
-                begin(index, [decision], now)
-                break
-            report(index, daemon, now)
-    finish_until(1e9)
-    return in_time
+    context.factor = factor
 
 
 @when("{daemons:d} daemons place {seconds:d} seconds of lookups by both ways")
 def both_ways(context, daemons, seconds):
+    kind = Kind("lookup", NORMAL, AIM, 0.5, 1)
+    requests = simulated.arrivals([kind], 6 * sum(context.speeds), context.factor, seconds, seed=3)
     context.in_time = {
-        name: simulate(context, name, daemons, seconds)
+        name: Fleet(context.speeds, 6, "objective", name, daemons).run(requests, 3).in_time.total()
         for name in ("expected_finish", "two_choice")
     }
 
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -3,27 +3,17 @@
 from __future__ import annotations
 
 import heapq
-import random
 
 from behave import given, then, when
 
 from hornbeamgw.core import admission, service_times
 from hornbeamgw.core.admission import Admitted, AttemptId, Queued, Refused, Request
-from hornbeamgw.core.membership import ServerState
-from hornbeamgw.core.snapshot import Limits
+from hornbeamgw.testing import simulated
+from hornbeamgw.testing.simulated import WIDE, Fleet, Kind
 
-WIDE = Limits(10_000, 0, 64)
 DEADLINE_BY_KIND = {"lookup": 0.5, "report": 1.5, "check": 0.2, "work": 1.5}
 
 
-def new_state(slots, policy="objective"):
-    state = admission.AdmissionState(policy)
-    state.service = "roster"
-    state.slots = slots
-    state.server_state = ServerState.SERVING
-    return state
-
-
 def learn(state, kind, work_ms):
     service_times.note(state.times, kind, work_ms / 1000)
 
@@ -43,13 +33,14 @@
         aim,
         **{"priority": 1, **fields},
     )
-    context.decisions = [admission.admit(context.state, request, "roster", now)]
+    context.decisions = [admission.admit(context.state, request, simulated.SERVICE, now)]
     return context.decisions[0]
 
 
 @given("an idle server with {slots:d} slots")
 def idle(context, slots):
-    context.state, context.now, context.number = new_state(slots), 100.0, 0
+    context.state = simulated.new_server("objective", slots)
+    context.now, context.number = 100.0, 0
 
 
 def fill(context, count, slots, work_ms, age_ms=0.0, priority=1):
@@ -166,66 +157,28 @@
 
 @given("{seconds:d} seconds of lookups and reports at {factor:g} times what {slots:d} slots can do")
 def offered(context, seconds, factor, slots):
-    rng = random.Random(7)
+    kinds = [Kind("lookup", 0.06, 0.2, 0.5, 5), Kind("report", 0.24, 0.6, 1.5, 1)]
     context.slots = slots
-    context.arrivals = []
-    kinds = [("lookup", 0.06, 0.2, 5), ("report", 0.24, 0.6, 1)]
-    mean = sum(work * weight for _, work, _, weight in kinds) / sum(k[3] for k in kinds)
-    now = 0.0
-    while now < seconds:
-        now += rng.expovariate(factor * slots / mean)
-        kind, work, aim, _ = rng.choices(kinds, [k[3] for k in kinds])[0]
-        context.arrivals.append((now, kind, rng.lognormvariate(0, 0.5) * work / 1.13, aim))
-
-
-def serve(context, policy):
-    """Return how many of each kind were offered, served, and in time."""
-    state = new_state(context.slots, policy)
-    served, in_time, asked = {}, {}, {}
-    running, work_by_attempt = [], {}
-
-    def take(decisions, now):
-        for decision in decisions:
-            if isinstance(decision, Admitted):
-                end = now + work_by_attempt[decision.request.attempt]
-                heapq.heappush(running, (end, decision.request.attempt, now, decision.request))
-
-    def finish_until(limit):
-        while running and running[0][0] <= limit:
-            end, attempt, began, request = heapq.heappop(running)
-            if end <= request.deadline:
-                served[request.route] = served.get(request.route, 0) + 1
-            if end <= request.objective:
-                in_time[request.route] = in_time.get(request.route, 0) + 1
-            take(admission.finish(state, attempt, began, end), end)
-
-    for number, (now, kind, work, aim) in enumerate(context.arrivals):
-        finish_until(now)
-        take(admission.next_decisions(state, now), now)
-        asked[kind] = asked.get(kind, 0) + 1
-        attempt = AttemptId("a", 1, number)
-        work_by_attempt[attempt] = work
-        deadline = now + DEADLINE_BY_KIND[kind]
-        request = Request(attempt, "all", WIDE, deadline, kind, now + aim, aim, 1)
-        take([admission.admit(state, request, "roster", now)], now)
-    finish_until(1e9)
-    return asked, served, in_time
+    context.arrivals = simulated.arrivals(kinds, slots, factor, seconds, seed=7)
 
 
 @when("both ways to queue serve them")
 def both(context):
-    context.by_policy = {name: serve(context, name) for name in ("deadline", "objective")}
+    context.by_policy = {
+        name: Fleet([1.0], context.slots, name, "expected_finish", 1).run(context.arrivals, 7)
+        for name in ("deadline", "objective")
+    }
 
 
 @then('"{better}" answers at least {factor:g} times as many in time as "{worse}"')
 def more_in_time(context, better, factor, worse):
-    counts = {name: sum(found[2].values()) for name, found in context.by_policy.items()}
-    assert counts[better] >= factor * counts[worse], context.by_policy
+    counts = {name: outcome.in_time.total() for name, outcome in context.by_policy.items()}
+    assert counts[better] >= factor * counts[worse], counts
 
 
 @then("no kind is served less than a quarter as often as all")
 def none_starved(context):
-    asked, served, _ = context.by_policy["objective"]
-    mean = sum(served.values()) / sum(asked.values())
-    for kind, count in asked.items():
-        assert served.get(kind, 0) / count >= mean / 4, context.by_policy
+    outcome = context.by_policy["objective"]
+    mean = outcome.served.total() / outcome.asked.total()
+    for kind, count in outcome.asked.items():
+        assert outcome.served[kind] / count >= mean / 4, (outcome.asked, outcome.served)
--- /dev/null
+++ b/hornbeamgw/testing/simulated.py
@@ -0,0 +1,196 @@
+"""Simulated load: policies decide on requests in simulated time, without a network."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from hornbeamgw.core import admission, balancing, placement
+from hornbeamgw.core.admission import (
+    AdmissionState,
+    Admitted,
+    AttemptId,
+    Decision,
+    Refused,
+    Request,
+)
+from hornbeamgw.core.balancing import Candidate, Choice, Load
+from hornbeamgw.core.membership import Member, ServerState
+from hornbeamgw.core.placement import RouteTraits
+from hornbeamgw.core.snapshot import Limits
+
+WIDE = Limits(10_000, 0, 64)
+SERVICE = "service"
+SPREAD = 0.5  # of the logarithm of work, as on the users' sheets
+TRIES = 3
+ANSWER_BYTES = 1500
+ME = Member("me", "dc-0", "region", 1)
+FOREVER = 1e9
+
+
+class Kind(NamedTuple):
+    """Hold a kind of request: mean work, objective and deadline (s), and its share."""
+
+    name: str
+    work: float
+    aim: float
+    deadline: float
+    weight: float
+
+
+class Arrival(NamedTuple):
+    """Hold one request: when (s), of which kind, and its work (s)."""
+
+    at: float
+    kind: Kind
+    work: float
+
+
+class Outcome:
+    """Count by kind what was asked, answered before its deadline, and within its objective."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.asked: Counter[str] = Counter()
+        self.served: Counter[str] = Counter()
+        self.in_time: Counter[str] = Counter()
+
+
+class _Run(NamedTuple):
+    end: float
+    attempt: AttemptId
+    server: int
+    began: float
+    request: Request
+
+
+def arrivals(
+    kinds: Sequence[Kind], slots: float, factor: float, seconds: float, seed: int
+) -> list[Arrival]:
+    """Return requests at a factor of what slots of speed 1 can do, at random times."""
+    rng = random.Random(seed)
+    mean = sum(k.work * k.weight for k in kinds) / sum(k.weight for k in kinds)
+    weights = [kind.weight for kind in kinds]
+    found, now = [], 0.0
+    while now < seconds:
+        now += rng.expovariate(factor * slots / mean)
+        kind = rng.choices(kinds, weights)[0]
+        work = kind.work * rng.lognormvariate(-SPREAD * SPREAD / 2, SPREAD)
+        found.append(Arrival(now, kind, work))
+    return found
+
+
+def new_server(policy: str, slots: int) -> AdmissionState:
+    """Return the admission state of a server that serves."""
+    state = AdmissionState(policy)
+    state.service, state.slots, state.server_state = SERVICE, slots, ServerState.SERVING
+    return state
+
+
+class Fleet:
+    """Hold servers of one service, their speeds, and daemons that place requests on them."""
+
+    def __init__(
+        self, speeds: Sequence[float], slots: int, queueing: str, chooser: str, daemons: int
+    ) -> None:
+        """Take the speeds of the servers, their slots, and the names of both policies."""
+        self.outcome = Outcome()
+        self._speeds = speeds
+        self._states = [new_server(queueing, slots) for _ in speeds]
+        self._members = [
+            Member(f"s{i}", f"dc-{i}", "region", 1, service=SERVICE, slots=slots)
+            for i in range(len(speeds))
+        ]
+        self._choose = balancing.chooser_of(chooser)
+        self._loads = [[Load(0.0) for _ in speeds] for _ in range(daemons)]
+        self._traits: list[dict[str, RouteTraits]] = [{} for _ in range(daemons)]
+        self._running: list[_Run] = []
+        self._work_by_attempt: dict[AttemptId, tuple[int, Kind, float]] = {}
+
+    def run(self, requests: Sequence[Arrival], seed: int) -> Outcome:
+        """Serve all requests and return what became of them."""
+        rng = random.Random(seed)
+        for number, arrival in enumerate(requests):
+            self._finish_until(arrival.at)
+            self.outcome.asked[arrival.kind.name] += 1
+            self._place(arrival, number * TRIES, rng)
+        self._finish_until(FOREVER)
+        return self.outcome
+
+    def _place(self, arrival: Arrival, number: int, rng: random.Random) -> None:
+        daemon, kind, now = rng.randrange(len(self._loads)), arrival.kind, arrival.at
+        traits = self._traits[daemon].setdefault(kind.name, RouteTraits(kind.aim))
+        tried: list[str] = []
+        for attempt_number in range(number, number + TRIES):
+            loads = self._loads[daemon]
+            pairs = zip(self._members, loads, strict=True)
+            candidates = [Candidate(member, load) for member, load in pairs]
+            choice = Choice(ME, candidates, tried, traits, kind.aim, now)
+            chosen = self._choose(choice, rng)
+            if chosen is None:
+                return
+            tried.append(chosen.member.address)
+            attempt = AttemptId("a", daemon, attempt_number)
+            if self._try(self._members.index(chosen.member), daemon, attempt, arrival):
+                return
+
+    def _try(self, server: int, daemon: int, attempt: AttemptId, arrival: Arrival) -> bool:
+        now, kind = arrival.at, arrival.kind
+        self._work_by_attempt[attempt] = (daemon, kind, arrival.work)
+        request = Request(
+            attempt,
+            "all",
+            WIDE,
+            now + kind.deadline,
+            kind.name,
+            now + kind.aim,
+            kind.aim,
+            1,
+        )
+        load = self._loads[daemon][server]
+        load.sent_since += 1
+        self._begin(server, admission.next_decisions(self._states[server], now), now)
+        decision = admission.admit(self._states[server], request, SERVICE, now)
+        if isinstance(decision, Refused):
+            self._report(server, daemon, now)
+            return False
+        load.outstanding += 1
+        self._begin(server, [decision], now)
+        return True
+
+    def _begin(self, server: int, decisions: Sequence[Decision], now: float) -> None:
+        for decision in decisions:
+            attempt = decision.request.attempt
+            daemon, _, work = self._work_by_attempt[attempt]
+            if isinstance(decision, Admitted):
+                end = now + work / self._speeds[server]
+                run = _Run(end, attempt, server, now, decision.request)
+                heapq.heappush(self._running, run)
+            elif isinstance(decision, Refused):
+                self._loads[daemon][server].outstanding -= 1
+
+    def _finish_until(self, limit: float) -> None:
+        while self._running and self._running[0].end <= limit:
+            run = heapq.heappop(self._running)
+            daemon, kind, _ = self._work_by_attempt[run.attempt]
+            load = self._loads[daemon][run.server]
+            load.outstanding -= 1
+            self.outcome.served[kind.name] += run.end <= run.request.deadline
+            self.outcome.in_time[kind.name] += run.end <= run.request.objective
+            state = self._states[run.server]
+            self._begin(
+                run.server, admission.finish(state, run.attempt, run.began, run.end), run.end
+            )
+            traits = self._traits[daemon][kind.name]
+            placement.note_answer(traits, load, run.end - run.began, ANSWER_BYTES)
+            self._report(run.server, daemon, run.end)
+
+    def _report(self, server: int, daemon: int, now: float) -> None:
+        """Tell a daemon what a server's reports carry with each answer."""
+        state = self._states[server]
+        wait = admission.expected_wait(state, now)
+        free = admission.free_slots(state)
+        placement.note_report(self._loads[daemon][server], free, wait, now)
