--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,6 @@
 	$(PYTHON) -m black --check --quiet .
 	$(PYTHON) -m ruff check --quiet .
 	$(PYTHON) -m mypy
-	$(PYTHON) spec/names.py
 
 clean:
 	rm -rf $(VENV) build .mypy_cache .ruff_cache .hypothesis
