--- a/features/budget.feature
+++ b/features/budget.feature
@@ -33,3 +33,10 @@
     Then it is taken for a first try
     When one comes with 430 ms
     Then it has tried for 70 ms
+
+  Scenario: Where first tries differ among themselves, only a much shorter time tells of a return
+    Given first tries of "lookup" whose times differ between 1100 and 1296 ms
+    When one comes with 1105 ms
+    Then it is taken for a first try
+    When one comes with 700 ms
+    Then it has tried for about 466 ms
--- a/features/steps/budget.py
+++ b/features/steps/budget.py
@@ -11,6 +11,7 @@
 from hornbeamgw.core.retry_budget import Bound, BudgetState
 from hornbeamgw.core.snapshot import Entry, Limits, Part, Route
 
+MANY_TRIES = 200
 ENTRY = Entry("all", "o", "c", Limits(1, 0, 0))
 
 
@@ -105,6 +106,14 @@
     context.elapsed = returns.elapsed_before(context.returns, context.name, left, 0.1)
 
 
+@given('first tries of "{name}" whose times differ between {low:d} and {high:d} ms')
+def differing_first_tries(context, name, low, high):
+    context.returns, context.name = returns.ReturnState(), name
+    rng = random.Random(1)
+    for _ in range(MANY_TRIES):
+        returns.elapsed_before(context.returns, name, rng.randint(low, high), 0.0)
+
+
 @then("it is taken for a first try")
 def first(context):
     assert context.elapsed == 0
@@ -113,3 +122,8 @@
 @then("it has tried for {elapsed:d} ms")
 def tried(context, elapsed):
     assert abs(context.elapsed - elapsed / 1000) < 1e-9, context.elapsed
+
+
+@then("it has tried for about {elapsed:d} ms")
+def tried_about(context, elapsed):
+    assert abs(context.elapsed - elapsed / 1000) < 0.02, context.elapsed
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -79,6 +79,7 @@
         self.aim = route.objective_ms / 1000
         self.objective = math.inf
         self.came_back = False
+        self.time_left_ms = 0
         self.retry_after_ms = 0
         self.arrivals = 0
         self.refusals = 0
@@ -131,6 +132,7 @@
         "version": version,
         "verdict": Verdict.ANSWERED if failure is None else failure.verdict,
         "elapsed_ms": round(elapsed * 1000, 1),
+        "time_left_ms": call.time_left_ms,
         "placed": [placed._asdict() for placed in call.placed],
     }
     if call.came_back:
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -155,6 +155,7 @@
         call = Call(call_id, route, service, head, deadline, min(budget, MAX_RETRY_BUDGET))
         before = returns.elapsed_before(self._returns, route.name, allowed, now)
         call.came_back = before > 0
+        call.time_left_ms = allowed
         call.objective = now + call.aim - before
         return call
 
