Bring versions over narrow links: smaller bodies, readers on wide links, packed pushes

Deltas of one route were 1,300 to 1,630 bytes, over what a push carries, so that each was pulled on a new connection. Ruled out: the store (answers in 4 ms), the tree (it spread what was read). Change: msgpack and columns on the wire; in a data centre only daemons with at least half of the widest link read; deltas are compressed in pushes; an answer that keeps arriving may take four time limits. Scenarios: ten routes in a push, readers by link, a row that comes slowly; each failed without its change.

Also here, to be measured next: large answers leave at the pace of the link.

--- a/features/outside.feature
+++ b/features/outside.feature
@@ -34,6 +34,12 @@
       | reset  |
       | silent |
 
+  Scenario: The row comes slowly, in all longer than the time limit
+    Given the store answers with "trickle"
+    When one of them restarts as a new process at the same address
+    Then all of them have version 3 in force within 5 seconds
+    And none has lost the store
+
   Scenario: A daemon that starts while the store is away takes the version of its peers
     Given the store answers with "outage"
     When one of them restarts as a new process at the same address
--- a/features/spreading.feature
+++ b/features/spreading.feature
@@ -31,3 +31,13 @@
     Given 60 nodes in 9 data centres of 3 regions that see each other
     When one node hears from nobody for a minute
     Then it still has 59 others in its view, and finds them again when they answer
+
+  Scenario: A change of ten routes is carried by the pushes themselves
+    Given 60 nodes in 9 data centres of 3 regions that see each other
+    When one of them commits a version of 10 new services and routes
+    Then all have it in force and at most 70 pushes were sent
+
+  Scenario: Those with narrow links leave reading the store to others
+    Given 20 members of a data centre, 2 of them with a link of 50 Mbit/s and the rest of 3
+    Then those 2 are its readers
+    And while links are not known 2 members are its readers
--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -111,7 +111,7 @@
         "status": {"state": state, "sequence": sequence},
     }
     try:
-        body = msgspec.json.encode(told)
+        body = msgspec.msgpack.encode(told)
         return await client.request("PUT", f"/-/instances/{instance}", body=body)
     finally:
         client.close()
--- a/features/steps/outside.py
+++ b/features/steps/outside.py
@@ -19,21 +19,19 @@
 CHECK_S = 0.02
 
 
+ROUTE_COLUMNS = ["name", "host", "prefix", "kind", "service", "timeout_ms", "slo_ms", "priority"]
+ROUTE_COLUMNS += ["attempts", "traffic_split"]
+
+
 def version_of(number, routes=1):
-    resources = [
-        {
-            "resource_kind": "services",
-            "metadata": {"name": "roster"},
-            "spec": {"health_path": "/healthz", "max_conns": 130},
-        }
+    rows = [
+        [f"r-{index}", "test.example", f"/{index}/", "safe", "roster", 500, 200, 2, 2, None]
+        for index in range(routes)
     ]
-    for index in range(routes):
-        spec = {"host": "test.example", "prefix": f"/{index}/", "kind": "safe", "service": "roster"}
-        spec |= {"timeout_ms": 500, "slo_ms": 200, "priority": 2, "attempts": 2}
-        resource = {"resource_kind": "routes", "metadata": {"name": f"r-{index}"}, "spec": spec}
-        resources.append(resource)
-    limits = {"resource_kind": "limits", "metadata": {}, "spec": {"idle_timeout_ms": 15000}}
-    return msgspec.json.encode({"version": number, "resources": [*resources, limits]})
+    services = {"columns": ["name", "health_path"], "rows": [["roster", "/healthz"]]}
+    document = {"version": number, "limits": {"idle_timeout_ms": 15000}, "services": services}
+    document["routes"] = {"columns": ROUTE_COLUMNS, "rows": rows}
+    return msgspec.msgpack.encode(document)
 
 
 async def start_daemon(context, address="127.0.0.1:0"):
@@ -117,9 +115,8 @@
 @when("the operator writes something that is no version")
 def writes_garbage(context):
     async def garbage():
-        context.store.put(
-            "op", "config", b'{"version":11,"resources":[{"resource_kind":"routes"}]}'
-        )
+        garbled = version_of(11).replace(b"timeout_ms", b"timeout_xy")
+        context.store.put("op", "config", garbled)
         await asyncio.sleep(0.2)
 
     context.runner.run(garbage())
@@ -190,6 +187,11 @@
     context.runner.run(end())
 
 
+@then("none has lost the store")
+def store_kept(context):
+    assert [daemon.reader.errors for daemon in context.living] == [0] * DAEMONS
+
+
 @then("the last one has version {number:d} in force within {seconds:d} seconds")
 def last_one(context, number, seconds):
     assert len(context.living) == DAEMONS - 2
--- a/features/steps/spreading.py
+++ b/features/steps/spreading.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from hornbeamgw.core import edit, membership, node, spreading, versions
+from hornbeamgw.core import edit, membership, node, rendezvous, spreading, versions
 from hornbeamgw.core.edit import GENESIS, Change, Edit
 from hornbeamgw.core.membership import Member, Status, Timing
 from hornbeamgw.core.node import Moment, Node
@@ -77,6 +77,47 @@
     deliver(context)
 
 
+@when("one of them commits a version of {count:d} new services and routes")
+def commit_many(context, count):
+    bodies = {"entry/e": BODY}
+    for index in range(count):
+        service, name = f"service-{index}", f"route-{index}"
+        bodies[f"service/{service}"] = {"name": service, "owner": "o"}
+        route = {"name": name, "host": "h.example", "prefix": f"/p{index}/", "service": service}
+        bodies[f"route/{name}"] = route | {"entry": "e", "idempotent": True, "deadline_ms": 500}
+    changes = [Change(key=key, based_on=0, body=body) for key, body in bodies.items()]
+    wanted = Edit(edit_id="many", author="t", changes=changes)
+    context.blob = edit.encode_delta(edit.accept(GENESIS, wanted, 0).unwrap())
+    commit(context)
+
+
+@given(
+    "{count:d} members of a data centre, {wide:d} of them with a link of {wide_rate:d} Mbit/s "
+    "and the rest of {rate:d}"
+)
+def links(context, count, wide, wide_rate, rate):
+    context.wide = {f"n{index:03d}" for index in range(5, 5 + wide)}
+    context.members = [
+        Member(name, "dc0", "r0", 1, bandwidth=wide_rate if name in context.wide else rate)
+        for name in (f"n{index:03d}" for index in range(count))
+    ]
+
+
+def readers_among(members):
+    return {m.address for m in members if rendezvous.is_reader(m, members)}
+
+
+@then("those {wide:d} are its readers")
+def wide_read(context, wide):
+    assert readers_among(context.members) == context.wide
+
+
+@then("while links are not known {count:d} members are its readers")
+def unknown_links(context, count):
+    unknown = [member._replace(bandwidth=0) for member in context.members]
+    assert len(readers_among(unknown)) == count
+
+
 @when("one of them commits a version and unanswered pushes are followed up")
 def commit_and_follow(context):
     commit(context)
--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -35,7 +35,7 @@
 
 
 class Member(NamedTuple):
-    """Hold one daemon and the backend server beside it."""
+    """Hold one daemon and the backend server beside it; bandwidth in bytes/s, 0 if unknown."""
 
     address: str
     data_centre: str
@@ -48,6 +48,7 @@
     slots: int = 0
     version: int = 0
     admin: str = ""
+    bandwidth: int = 0
 
 
 class Probe(NamedTuple):
--- a/hornbeamgw/core/node.py
+++ b/hornbeamgw/core/node.py
@@ -27,7 +27,6 @@
 from hornbeamgw.core.spreading import HIGHEST, LOWEST, Have, PullState, Push, Scope, Target
 from hornbeamgw.core.versions import Learned, Origin, Path, VersionState
 
-MAX_PUSHED_DELTA = 1200
 URGENT_TARGETS = 4
 PUSH_GRACE_S = 0.1
 # A data centre of the two-year size holds 105 daemons; gossip reaches the rest.
@@ -219,8 +218,7 @@
 def _push_to(
     node: Node, target: Target, version: int, avoided: frozenset[str], moment: Moment
 ) -> list[Effect]:
-    delta = node.versions.deltas_by_version.get(version, b"")
-    carried = delta if len(delta) <= MAX_PUSHED_DELTA else b""
+    carried = versions.pack_delta(node.versions.deltas_by_version.get(version, b""))
     parent = node.versions.parents_by_version.get(version, 0)
     message = Push(version, target.scope, target.low, target.high, carried, parent)
     due = moment.now + spreading.PUSH_ACK_TIMEOUT
@@ -254,9 +252,10 @@
     known = node.versions.catalogue.version
     if message.version <= known:
         return [Duplicate(sender), _send(node, sender, Have()), *_cover(node, message, moment)]
-    if message.delta and message.parent == known:
+    delta = versions.unpack_delta(message.delta) if message.parent == known else b""
+    if delta:
         origin = Origin(Path.PUSH, sender)
-        advanced, effects = learn_deltas(node, [message.delta], origin, moment)
+        advanced, effects = learn_deltas(node, [delta], origin, moment)
         if advanced:
             effects += push(node, moment, message.scope, message.low, message.high)
             return [*effects, _send(node, sender, Have())]
--- a/hornbeamgw/core/options.py
+++ b/hornbeamgw/core/options.py
@@ -94,6 +94,7 @@
     metrics: NotRequired[Address]
     seeds: NotRequired[list[Address]]
     directory: NotRequired[bool]
+    bandwidth: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=1e6)]]  # Mbit/s, 0 if unknown
     source: NotRequired[Text]
     plugins: NotRequired[PluginsFile]
     server: NotRequired[ServerFile]
@@ -107,7 +108,7 @@
 
 
 class Settings(NamedTuple):
-    """Hold effective settings; durations in seconds, sizes in bytes."""
+    """Hold effective settings; durations in seconds, sizes in bytes, bandwidth in Mbit/s."""
 
     fleet: str
     data_centre: str
@@ -121,6 +122,7 @@
     metrics: str = ""
     seeds: tuple[str, ...] = ()
     directory: bool = False
+    bandwidth: float = 0.0
     source: str = "commits"
     plugins_modules: tuple[str, ...] = ()
     plugins_folder: str = ""
--- a/hornbeamgw/core/versions.py
+++ b/hornbeamgw/core/versions.py
@@ -18,6 +18,10 @@
 
 KEPT_DELTAS = 256
 KEPT_ARRIVALS = 512
+# A datagram of 1,472 bytes is not split on the way; the rest of a push takes up to 200 of them.
+MAX_PACKED_DELTA = 1200
+# A change of ten routes is some 3 KB and packs into a fifth of that; larger ones are pulled.
+MAX_UNPACKED_DELTA = 16 * 1024
 
 
 class Path(enum.StrEnum):
@@ -148,6 +152,26 @@
     return zlib.compress(msgspec.json.encode([catalogue.version, rows]), 6)
 
 
+def pack_delta(delta: bytes) -> bytes:
+    """Return a delta compressed for a datagram, or nothing where it would be too long."""
+    if not delta or len(delta) > MAX_UNPACKED_DELTA:
+        return b""
+    packed = zlib.compress(delta)
+    return packed if len(packed) <= MAX_PACKED_DELTA else b""
+
+
+def unpack_delta(packed: bytes) -> bytes:
+    """Return the delta in a datagram, or nothing where it can't be read."""
+    if not packed:
+        return b""
+    unpacking = zlib.decompressobj()
+    try:
+        delta = unpacking.decompress(packed, MAX_UNPACKED_DELTA)
+    except zlib.error:
+        return b""
+    return delta if unpacking.eof else b""
+
+
 def decode_catalogue(blob: bytes) -> Catalogue:
     """Return the catalogue in a blob; raise ValueError where it is none."""
     try:
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -13,7 +13,7 @@
 from hornbeamgw.core.registration import Departure, Heartbeat, RegistrationState
 from hornbeamgw.daemon.gate import Announcement, Gate
 from hornbeamgw.daemon.http1 import HttpConnection
-from hornbeamgw.daemon.http_server import json_response, read_body
+from hornbeamgw.daemon.http_server import json_response, read_body, send_response
 
 log = logging.getLogger(__name__)
 
@@ -59,7 +59,7 @@
             self._on_departure(told)
         else:
             self._on_heartbeat(told)
-        json_response(connection, 200, {})
+        send_response(connection, 200, [], b"")
 
     def _on_heartbeat(self, beat: Heartbeat) -> None:
         now = asyncio.get_running_loop().time()
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -34,6 +34,7 @@
     placed_at,
 )
 from hornbeamgw.daemon.failures import send_failure
+from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.histograms import Histograms
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, header
 from hornbeamgw.daemon.http_server import BadRequest
@@ -74,12 +75,14 @@
         identity: Identity,
         budget: BudgetState,
         repeat_share: Callable[[], float],
+        pacer: Pacer,
     ) -> None:
         """Take the view to decide on, the links to other daemons and the balancing policy."""
         self._identity = identity
         self._dialect = identity.dialect
         self._budget = budget
         self._repeat_share = repeat_share
+        self._pacer = pacer
         self._splits = SplitState()
         self.counts: Counter[str] = Counter()
         self.histograms = Histograms()
@@ -373,7 +376,7 @@
         self, connection: HttpConnection, call: Call, attempt: Attempt, reply: frames.Reply
     ) -> None:
         try:
-            await relay.answer(connection, call, attempt, reply, self.draining)
+            await relay.answer(connection, call, attempt, reply, self.draining, self._pacer)
         except (ConnectionLost, h11.LocalProtocolError) as error:
             self.counts["broken_answers"] += 1
             log.warning("answer broken off", extra={"call_id": call.call_id, "error": str(error)})
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -44,6 +44,7 @@
     out.slots = member.slots
     out.version = member.version
     out.admin = member.admin
+    out.bandwidth = member.bandwidth
 
 
 def _read_member(raw: Any) -> Member:
@@ -59,6 +60,7 @@
         raw.slots,
         raw.version,
         raw.admin,
+        raw.bandwidth,
     )
 
 
--- a/hornbeamgw/daemon/flow.py
+++ b/hornbeamgw/daemon/flow.py
@@ -1,4 +1,4 @@
-"""Flow: mailboxes of one reader and windows that bound what is under way."""
+"""Flow: mailboxes of one reader, windows that bound what is under way, and the pace of a link."""
 
 from __future__ import annotations
 
@@ -6,6 +6,9 @@
 from collections import deque
 from typing import Generic, TypeVar
 
+from hornbeamgw.core import pacing
+from hornbeamgw.core.pacing import LinkState
+
 T = TypeVar("T")
 
 WINDOW = 256 * 1024
@@ -53,3 +56,28 @@
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         self.available -= size
+
+
+class Pacer:
+    """Own the pace at which parts of large bodies leave this VM; bodies take turns."""
+
+    def __init__(self, bandwidth: float = 0.0) -> None:
+        """Take the bandwidth of the VM's link (bytes/s), 0 where it is not known."""
+        self._state = LinkState(bandwidth)
+        self._turn = asyncio.Lock()
+        self.part_bytes = pacing.part_bytes(self._state)
+        self.window_bytes = pacing.window_bytes(self._state)
+
+    def split(self, body: bytes) -> list[bytes]:
+        """Return a body in the parts that leave one at a time."""
+        size = self.part_bytes
+        return [body[start : start + size] for start in range(0, len(body), size)]
+
+    async def leave(self, size: int) -> None:
+        """Wait until a part of this many bytes may leave."""
+        loop = asyncio.get_running_loop()
+        async with self._turn:
+            wait = pacing.wait_for_part(self._state, loop.time())
+            if wait > 0:
+                await asyncio.sleep(wait)
+            pacing.note_part(self._state, size, loop.time())
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -20,9 +20,10 @@
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames, heads, server_answer
 from hornbeamgw.daemon.backend_pool import BackendPool
-from hornbeamgw.daemon.flow import WINDOW, Mailbox, Window
+from hornbeamgw.daemon.flow import WINDOW, Mailbox, Pacer
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end, header
 from hornbeamgw.daemon.link import Link
+from hornbeamgw.daemon.outgoing import Outgoing
 
 __all__ = ["Announcement", "Gate"]
 
@@ -43,9 +44,8 @@
         self.link = link
         self.call = call
         self.bodies: Mailbox[frames.Body] = Mailbox()
-        self.window = Window(WINDOW)
         self.task: asyncio.Task[Failure | None] | None = None
-        self.replied = False
+        self.outgoing: Outgoing | None = None
         self.limit: asyncio.Timeout | None = None
         self.deadline = 0.0
         self.arrived_at = asyncio.get_running_loop().time()
@@ -61,8 +61,10 @@
         on_server_change: Callable[[], None],
         dialect: Dialect = HORNBEAMGW,
         policy: str = "deadline",
+        pacer: Pacer | None = None,
     ) -> None:
         """Take the snapshot in force and what to call when the server's state changes."""
+        self._pacer = pacer or Pacer()
         self.state = AdmissionState(policy)
         self.dialect = dialect
         self.on_replaced: Callable[[str], None] = lambda instance: None
@@ -128,8 +130,7 @@
         """End what still runs and return the call ids that were cut off."""
         running = [a for a in self._attempts.values() if a.task is not None]
         for attempt in running:
-            assert attempt.task is not None
-            attempt.task.cancel()
+            _stop(attempt)
         return [attempt.call.call_id for attempt in running]
 
     def on_frame(self, link: Link, frame: frames.Frame) -> None:
@@ -150,7 +151,8 @@
         if isinstance(frame, frames.Body):
             attempt.bodies.put(frame)
         elif isinstance(frame, frames.Credit):
-            attempt.window.add(frame.size)
+            if attempt.outgoing is not None:
+                attempt.outgoing.window.add(frame.size)
         else:
             self._on_cancel(attempt)
 
@@ -159,8 +161,8 @@
         for attempt in self._attempts.values():
             if attempt.link is link and not attempt.call.end and attempt.task is not None:
                 attempt.task.cancel()
-            if attempt.link is link:
-                attempt.window.add(1 << 62)
+            if attempt.link is link and attempt.outgoing is not None:
+                attempt.outgoing.stop()
 
     def _limits(self, entry: str) -> Limits | None:
         found = self._snapshot().entries_by_name.get(entry)
@@ -223,8 +225,8 @@
         self.counts["cancelled"] += 1
         if admission.withdraw(self.state, attempt.id, now):
             self._forget(attempt)
-        elif attempt.task is not None and attempt.call.idempotent:
-            attempt.task.cancel()
+        elif attempt.task is not None and (attempt.call.idempotent or attempt.task.done()):
+            _stop(attempt)
 
     def _act(self, decisions: list[Decision]) -> None:
         for decision in decisions:
@@ -311,9 +313,25 @@
         if failure is not None:
             self.counts[f"failed.{failure.reason}"] += 1
             self._send_failure(attempt, failure)
-        self._forget(attempt)
+        self._end(attempt, failure)
         self._act(decisions)
 
+    def _end(self, attempt: _Attempt, failure: Failure | None) -> None:
+        """Forget an attempt once the rest of its answer is sent, or at once where it failed."""
+        outgoing = attempt.outgoing
+        if outgoing is None or outgoing.task.done() or failure is not None:
+            if outgoing is not None:
+                outgoing.stop()
+            self._forget(attempt)
+            return
+        outgoing.task.add_done_callback(lambda _: self._forget(attempt))
+
+    def _on_stalled(self, attempt: _Attempt) -> None:
+        self.counts["stalled_answers"] += 1
+        failure = may_have_run(Reason.DEADLINE, "the caller's daemon took no more of the answer")
+        log.warning("answer stalled", extra={"call_id": attempt.call.call_id})
+        self._send_failure(attempt, failure)
+
     async def _exchange(self, attempt: _Attempt) -> Failure | None:
         call = attempt.call
         try:
@@ -365,26 +383,46 @@
         body, end = server_answer.take_arrived(connection)
         if failure is not None:
             return failure
+        size = self._pacer.part_bytes
+        first, rest = body[:size], body[size:]
+        is_whole = end and not rest
         reply = frames.Reply(
             attempt.call.attempt,
             event.status_code,
             heads.encode_headers(end_to_end(event.headers)),
-            body,
-            end,
+            first,
+            is_whole,
             *self._load(),
             self._held_ms(attempt),
         )
         attempt.link.send(reply)
-        attempt.replied = True
+        if is_whole:
+            return None
+        limit = attempt.deadline + ANSWER_MAX_S
         if attempt.limit is not None:
-            attempt.limit.reschedule(attempt.deadline + ANSWER_MAX_S)
-        attempt.window.available -= len(body)
+            attempt.limit.reschedule(limit)
+        outgoing = self._open_outgoing(attempt, limit)
+        outgoing.window.available -= len(first)
+        outgoing.put(rest, end)
         while not end:
             body, end = await server_answer.next_part(connection)
-            await attempt.window.take(len(body))
-            attempt.link.send(frames.Body(attempt.call.attempt, body, end))
+            outgoing.put(body, end)
+            await outgoing.room()
         return None
 
+    def _open_outgoing(self, attempt: _Attempt, limit: float) -> Outgoing:
+        link, number = attempt.link, attempt.call.attempt
+        pacer = self._pacer if link.peer != link.hello else Pacer()
+        attempt.outgoing = Outgoing(link, number, pacer, limit, lambda: self._on_stalled(attempt))
+        return attempt.outgoing
+
+
+def _stop(attempt: _Attempt) -> None:
+    if attempt.task is not None:
+        attempt.task.cancel()
+    if attempt.outgoing is not None:
+        attempt.outgoing.stop()
+
 
 async def _pump_body(attempt: _Attempt, connection: HttpConnection) -> None:
     while True:
--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -14,6 +14,8 @@
 
 MAX_HEAD = 16 * 1024
 READ_AHEAD = 256 * 1024
+# An answer that keeps arriving may take this many timeouts: 1 MB takes 2.7 s at 3 Mbit/s.
+SLOW_BODY_FACTOR = 4
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -222,7 +224,12 @@
 
 
 async def _exchange(
-    connection: HttpConnection, method: str, target: str, headers: Headers, body: bytes
+    connection: HttpConnection,
+    method: str,
+    target: str,
+    headers: Headers,
+    body: bytes,
+    on_part: Callable[[], None],
 ) -> Response:
     framing = [(b"content-length", str(len(body)).encode())]
     request = h11.Request(method=method, target=target, headers=[*headers, *framing])
@@ -238,6 +245,7 @@
             status, reply_headers = event.status_code, list(event.headers)
         elif isinstance(event, h11.Data):
             chunks.append(bytes(event.data))
+            on_part()
         elif isinstance(event, h11.EndOfMessage):
             return Response(status, reply_headers, b"".join(chunks))
         elif isinstance(event, h11.ConnectionClosed):
@@ -261,14 +269,24 @@
         body: bytes = b"",
         timeout: float | None = None,
     ) -> Response:
-        """Return the answer; raise OSError, TimeoutError, ConnectionLost or a protocol error."""
-        async with asyncio.timeout(self.timeout if timeout is None else timeout):
+        """Return the answer; raise OSError, TimeoutError, ConnectionLost or a protocol error.
+
+        The timeout (s) bounds the wait for the first part of a body and for each one that follows.
+        """
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + SLOW_BODY_FACTOR * self.timeout
+        async with asyncio.timeout(self.timeout if timeout is None else timeout) as limit:
+
+            def on_part() -> None:
+                due = min(latest, loop.time() + self.timeout)
+                limit.reschedule(max(due, limit.when() or due))
+
             connection = await self._connection()
             try:
                 wanted = list(headers or [])
                 if header(wanted, b"host") is None:
                     wanted.insert(0, (b"host", self.address.encode()))
-                response = await _exchange(connection, method, target, wanted, body)
+                response = await _exchange(connection, method, target, wanted, body, on_part)
             except BaseException:
                 connection.abort()
                 raise
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -29,6 +29,7 @@
 from hornbeamgw.daemon.committer import Committer
 from hornbeamgw.daemon.control import Control
 from hornbeamgw.daemon.directory import Directory
+from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.gate import Gate
 from hornbeamgw.daemon.http1 import HttpConnection
 from hornbeamgw.daemon.http_server import (
@@ -52,6 +53,7 @@
 CHECK_EVERY_S = 0.1
 GRACE_AFTER_DRAIN_S = 0.2
 PORT_TRIES = 20
+BYTES_PER_MEGABIT = 125_000
 EXIT_OK = 0
 EXIT_CUT_OFF = 3
 
@@ -67,6 +69,7 @@
             settings.data_centre,
             settings.region,
             time.time_ns() // 1_000_000,
+            bandwidth=round(settings.bandwidth * BYTES_PER_MEGABIT),
         )
         platform = factories_by_name[settings.platform_adapter](
             settings.platform_address, settings.platform_timeout
@@ -81,7 +84,10 @@
         directory = _directory(settings, self.control, platform, rng)
         self.reader = Reader(self.control, source, rng, directory)
         self.committer = _committer(self.control, self.reader, platform, rng)
-        self.gate = Gate(self._snapshot, self._on_server_change, dialect, settings.calls_queueing)
+        pacer = Pacer(me.bandwidth)
+        self.gate = Gate(
+            self._snapshot, self._on_server_change, dialect, settings.calls_queueing, pacer
+        )
         self.links = Links(lambda: self.control.hello, self.control.fault)
         choose = balancing.chooser_of(settings.calls_balancing)
         replay_limit = round(settings.calls_replay_limit)
@@ -97,6 +103,7 @@
             identity,
             self.budget,
             self.gate.repeat_share,
+            pacer,
         )
         self.peers = PeerServer(self.control, self.reader, self.gate)
         self.callers = HttpServer(self.calls.on_request, timeouts)
--- a/hornbeamgw/daemon/relay.py
+++ b/hornbeamgw/daemon/relay.py
@@ -7,6 +7,7 @@
 from hornbeamgw.daemon import frames, heads
 from hornbeamgw.daemon.attempts import Attempt, Expired
 from hornbeamgw.daemon.call import Call
+from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, header
 
 
@@ -25,7 +26,12 @@
 
 
 async def answer(
-    connection: HttpConnection, call: Call, attempt: Attempt, reply: frames.Reply, close: bool
+    connection: HttpConnection,
+    call: Call,
+    attempt: Attempt,
+    reply: frames.Reply,
+    close: bool,
+    pacer: Pacer,
 ) -> None:
     """Carry an answer to its end; raise ConnectionLost where either side breaks off."""
     headers = heads.decode_headers(reply.head)
@@ -40,10 +46,10 @@
     connection.send(*events)
     if not reply.end:
         attempt.link.send(frames.Credit(attempt.number, len(reply.body)))
-        await _rest(connection, attempt)
+        await _rest(connection, attempt, pacer)
 
 
-async def _rest(connection: HttpConnection, attempt: Attempt) -> None:
+async def _rest(connection: HttpConnection, attempt: Attempt, pacer: Pacer) -> None:
     while True:
         event = await attempt.events.get()
         if isinstance(event, Expired):
@@ -52,6 +58,7 @@
         if not isinstance(event, frames.Body):
             raise ConnectionLost(f"{type(event).__name__} before the end of the answer")
         if event.data:
+            await pacer.leave(len(event.data))
             connection.send(h11.Data(data=event.data))
             await connection.drain()
             attempt.link.send(frames.Credit(attempt.number, len(event.data)))
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -115,6 +115,7 @@
   slots @8 :UInt16;
   version @9 :UInt64;
   admin @10 :Text;
+  bandwidth @11 :UInt64;
 }
 
 struct Datagram {
--- a/hornbeamgw/testing/store.py
+++ b/hornbeamgw/testing/store.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from hornbeamgw.daemon.http1 import HttpConnection
-from hornbeamgw.daemon.http_server import HttpServer, Timeouts, json_response, read_body
+from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
 
 BODY_LIMIT = 1024 * 1024
 PAGE_LIMIT = 500
@@ -22,7 +22,26 @@
 RESET = "reset"
 SILENT = "silent"
 LOSE_ANSWER = "lose_answer"  # done, and the connection breaks
+TRICKLE = "trickle"  # an answer comes in parts, each a while after the last
 SILENT_S = 60.0
+TRICKLE_PARTS = 4
+TRICKLE_S = 0.2
+
+
+def _answer(connection: HttpConnection, status: int, document: dict[str, Any]) -> None:
+    body = msgspec.msgpack.encode(document)
+    send_response(connection, status, [(b"content-type", b"application/msgpack")], body)
+
+
+async def _trickle(connection: HttpConnection, document: dict[str, Any]) -> None:
+    body = msgspec.msgpack.encode(document)
+    size = len(body) // TRICKLE_PARTS + 1
+    headers = [(b"content-length", str(len(body)).encode())]
+    connection.send(h11.Response(status_code=200, headers=headers))
+    for start in range(0, len(body), size):
+        await asyncio.sleep(TRICKLE_S)
+        connection.send(h11.Data(data=body[start : start + size]))
+    connection.send(h11.EndOfMessage())
 
 
 class _Stored(NamedTuple):
@@ -89,15 +108,17 @@
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         if await self._fail(connection):
             return
-        if url.path == "/-/rows-get":
-            json_response(connection, 200, self._page(query))
+        if url.path == "/-/rows-get" and self.fault == TRICKLE:
+            await _trickle(connection, self._page(query))
+        elif url.path == "/-/rows-get":
+            _answer(connection, 200, self._page(query))
         elif url.path == "/-/rows-feed":
             status, document = await self._feed(query)
-            json_response(connection, status, document)
+            _answer(connection, status, document)
         elif url.path == "/-/rows-tx":
-            self._transact(connection, msgspec.json.decode(body))
+            self._transact(connection, msgspec.msgpack.decode(body))
         else:
-            json_response(connection, 404, {"error": url.path})
+            _answer(connection, 404, {"error": url.path})
 
     async def _fail(self, connection: HttpConnection) -> bool:
         if self.fault == RESET:
@@ -105,8 +126,8 @@
         elif self.fault == SILENT:
             await asyncio.sleep(SILENT_S)
         elif self.fault in (OUTAGE, BUSY):
-            json_response(connection, 503 if self.fault == OUTAGE else 429, {})
-        return bool(self.fault)
+            _answer(connection, 503 if self.fault == OUTAGE else 429, {})
+        return bool(self.fault) and self.fault != TRICKLE
 
     def _stamp(self, document: dict[str, Any]) -> dict[str, Any]:
         return {**document, "api_version": self.state, "now_ms": time.monotonic() * 1000}
@@ -145,9 +166,7 @@
         for row in asked.get("expect", ()):
             held = self.rows_by_place.get((row["table"], row["key"]))
             if row["api_version"] != (held.state if held else 0):
-                json_response(
-                    connection, 412, self._stamp({"rows": [_encode(held)] if held else []})
-                )
+                _answer(connection, 412, self._stamp({"rows": [_encode(held)] if held else []}))
                 return
         for row in asked.get("puts", ()):
             self._write(row["table"], row["key"], row["value"])
@@ -156,7 +175,7 @@
         if fault == LOSE_ANSWER:
             connection.abort()
             return
-        json_response(connection, 200, self._stamp({}))
+        _answer(connection, 200, self._stamp({}))
 
 
 def _encode(row: _Stored) -> dict[str, Any]:
