Split the choice of servers from calls, and one attempt from the gate

Change: daemon/servers.py owns loads and chooses, daemon/gate_attempt.py holds one attempt with its log lines; nothing decides otherwise.

--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -16,7 +16,7 @@
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.snapshot import Route, Snapshot
 from hornbeamgw.core.verdict import Failure, Verdict
-from hornbeamgw.daemon import heads
+from hornbeamgw.daemon import frames, heads
 from hornbeamgw.daemon.attempts import Attempt
 from hornbeamgw.daemon.http1 import Headers, end_to_end, header
 from hornbeamgw.daemon.http_server import BadRequest
@@ -100,6 +100,16 @@
         self.status = 0
 
 
+def objective_left_ms(call: Call, now: float) -> int:
+    """Return what is left of the objective; past it, how long ago it passed, negative."""
+    return max(-frames.NO_OBJECTIVE_MS, round((call.objective - now) * 1000))
+
+
+def sooner(earlier_ms: int, later_ms: int) -> int:
+    """Return the sooner of two times to come back; 0 is none."""
+    return min(earlier_ms, later_ms) if earlier_ms and later_ms else earlier_ms or later_ms
+
+
 def call_id_of(request: h11.Request, name: bytes) -> str:
     """Return the id that a caller gave in a header, or a new one."""
     given = header(request.headers, name)
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -6,14 +6,12 @@
 import logging
 import random
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import h11
 
-from hornbeamgw.core import balancing, placement, retry_budget, retrying, returns, sampling, split
-from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load
-from hornbeamgw.core.membership import Member
-from hornbeamgw.core.placement import PlacementState
+from hornbeamgw.core import balancing, placement, retry_budget, retrying, returns, split
+from hornbeamgw.core.balancing import Candidate
 from hornbeamgw.core.retry_budget import BudgetState
 from hornbeamgw.core.returns import ReturnState
 from hornbeamgw.core.snapshot import match
@@ -37,8 +35,10 @@
     log_end,
     log_refused,
     number_of,
+    objective_left_ms,
     passed_on,
     placed_at,
+    sooner,
 )
 from hornbeamgw.daemon.failures import send_failure
 from hornbeamgw.daemon.flow import Pacer
@@ -46,7 +46,7 @@
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, header
 from hornbeamgw.daemon.http_server import BadRequest
 from hornbeamgw.daemon.link import LinkLost
-from hornbeamgw.daemon.outlooks import Told
+from hornbeamgw.daemon.servers import Servers
 
 __all__ = ["Calls", "Identity", "View"]
 
@@ -69,7 +69,6 @@
 RETURN_SPREAD = 0.5
 # A server that is asked anew needs a third of the objective (service_times.GUESS_OF_OBJECTIVE).
 LEAST_PART_TO_GO_ELSEWHERE = 0.3
-NOTHING_TOLD = Told((), (), 0)
 RETURN_MIN_MS = 10
 
 
@@ -80,7 +79,7 @@
         self,
         view: Callable[[], View],
         links: Links,
-        choose: Chooser,
+        servers: Servers,
         replay_limit: int,
         rng: random.Random,
         identity: Identity,
@@ -88,7 +87,7 @@
         repeat_share: Callable[[], float],
         pacer: Pacer,
     ) -> None:
-        """Take the view to decide on, the links to other daemons and the balancing policy."""
+        """Take the view to decide on, the links to other daemons and what chooses servers."""
         self._identity = identity
         self._dialect = identity.dialect
         self._budget = budget
@@ -100,14 +99,10 @@
         self.draining = False
         self._view = view
         self._links = links
-        self._choose = choose
-        self._placement = PlacementState()
+        self._servers = servers
         self._returns = ReturnState()
         self._replay_limit = replay_limit
         self._rng = rng
-        self._loads_by_address: dict[str, Load] = {}
-        self._serving_at = -1
-        self._serving_by_service: dict[str, list[Member]] = {}
 
     async def on_request(self, connection: HttpConnection, request: h11.Request) -> None:
         """Answer one request of a caller."""
@@ -203,7 +198,7 @@
         loop = asyncio.get_running_loop()
         last: Failure | None = None
         while True:
-            chosen = await self._choose_server(call, view)
+            chosen = await self._servers.choose(call, view)
             if chosen is None:
                 return self._with_return(call, last or self._unplaced(call))
             if call.caller_gone or call.expired:
@@ -214,7 +209,7 @@
             if last is not None:
                 failure = retrying.combine(last.verdict, failure)
             last = failure
-            call.retry_after_ms = _sooner(call.retry_after_ms, failure.retry_after_ms)
+            call.retry_after_ms = sooner(call.retry_after_ms, failure.retry_after_ms)
             if call.caller_gone or call.started_stream:
                 return failure
             call.arrivals += failure.reached_server
@@ -261,73 +256,9 @@
         is_bound_by_route = call.arrivals + 1 >= call.route.attempts or call.arrivals >= call.budget
         if is_bound_by_route or call.deadline - now < call.aim * LEAST_PART_TO_GO_ELSEWHERE:
             return False
-        servers = self._candidates(self._view(), call.service, now)
-        has_other = any(c.member.address not in call.tried for c in servers)
+        has_other = self._servers.has_other(call, self._view(), now)
         return has_other and retry_budget.has_room(self._budget, call.service, now)
 
-    def _candidates(self, view: View, service: str, now: float) -> list[Candidate]:
-        if view.generation != self._serving_at:
-            self._serving_at = view.generation
-            self._serving_by_service.clear()
-        members = self._serving_by_service.get(service)
-        if members is None:
-            members = balancing.serving(view.members, service)
-            self._serving_by_service[service] = members
-        loads = self._loads_by_address
-        return [Candidate(m, loads.get(m.address) or self._load(m, now)) for m in members]
-
-    def _load(self, member: Member, now: float) -> Load:
-        return self._loads_by_address.setdefault(member.address, Load(now))
-
-    def _choice(self, call: Call, view: View, now: float) -> Choice:
-        candidates = self._candidates(view, call.service, now)
-        traits = placement.traits_of(self._placement, call.route.name, call.aim)
-        return Choice(view.me, candidates, call.tried, traits, call.aim, now)
-
-    async def _choose_server(self, call: Call, view: View) -> Candidate | None:
-        """Return where to send a call: by what was heard of all servers, or by asking some."""
-        choice = self._choice(call, view, asyncio.get_running_loop().time())
-        if not sampling.worth_asking(choice):
-            return self._choose(choice, self._rng)
-        found = self._best_taker(call, choice)
-        while call.rounds_left and not (found and sampling.is_good(found.load.wait, call.aim)):
-            is_near = call.rounds_left == sampling.ROUNDS
-            call.rounds_left -= 1
-            told = await self._ask(call, sampling.sample(choice, is_near, self._rng))
-            call.takers += told.takers
-            call.tried += [c.member.address for c in told.refusers]
-            call.retry_after_ms = _sooner(call.retry_after_ms, told.retry_after_ms)
-            choice = choice._replace(now=asyncio.get_running_loop().time())
-            found = self._best_taker(call, choice)
-        if found is None and not call.retry_after_ms:
-            return self._choose(choice, self._rng)
-        return found
-
-    def _best_taker(self, call: Call, choice: Choice) -> Candidate | None:
-        takers = [c for c in call.takers if c.member.address not in call.tried]
-        return sampling.best(choice, takers)
-
-    async def _ask(self, call: Call, candidates: Sequence[Candidate]) -> Told:
-        opened = [(c, self._links.open_link(c.member.address)) for c in candidates]
-        linked = {link: candidate for candidate, link in opened if link is not None}
-        if not linked:
-            return NOTHING_TOLD
-        left = call.deadline - asyncio.get_running_loop().time()
-        request = frames.OutlookRequest(
-            0,
-            call.service,
-            call.route.entry.name,
-            call.route.name,
-            max(1, round(left * 1000)),
-            self._objective_ms(call),
-            call.route.objective_ms,
-            call.route.priority,
-            call.came_back,
-        )
-        self.counts["outlooks.asked"] += len(linked)
-        call.asked += len(linked)
-        return await self._links.outlooks.ask(linked, request)
-
     def _unplaced(self, call: Call) -> Failure:
         if not call.retry_after_ms:
             return _no_server(call.service)
@@ -377,7 +308,7 @@
             call.body,
             call.body_complete,
             call.route.name,
-            self._objective_ms(call),
+            objective_left_ms(call, asyncio.get_running_loop().time()),
             call.route.objective_ms,
             call.route.priority,
             call.came_back,
@@ -387,11 +318,6 @@
         attempt.load.sent_since += 1
         attempt.link.send(frame)
 
-    def _objective_ms(self, call: Call) -> int:
-        """Return what is left of the objective; past it, how long ago it passed, negative."""
-        left = call.objective - asyncio.get_running_loop().time()
-        return max(-frames.NO_OBJECTIVE_MS, round(left * 1000))
-
     async def _await_answer(
         self, connection: HttpConnection, call: Call, attempt: Attempt, address: str
     ) -> Failure | None:
@@ -417,7 +343,7 @@
 
     def _note_reply(self, call: Call, attempt: Attempt, reply: frames.Reply) -> None:
         now = asyncio.get_running_loop().time()
-        traits = placement.traits_of(self._placement, call.route.name, call.aim)
+        traits = self._servers.traits_of(call)
         size = len(call.body) + relay.size_of(reply)
         call.status = reply.status
         failed = reply.status >= SERVER_ERROR
@@ -469,10 +395,6 @@
     return not_run(Reason.NO_BACKEND, detail, NO_ENDPOINT_RETRY_MS)
 
 
-def _sooner(earlier_ms: int, later_ms: int) -> int:
-    return min(earlier_ms, later_ms) if earlier_ms and later_ms else earlier_ms or later_ms
-
-
 def _answer_expect(connection: HttpConnection) -> None:
     if connection.http.they_are_waiting_for_100_continue:
         connection.send(h11.InformationalResponse(status_code=100, headers=[]))
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -21,7 +21,15 @@
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames, heads, server_answer
 from hornbeamgw.daemon.backend_pool import BackendPool
-from hornbeamgw.daemon.flow import WINDOW, Mailbox, Pacer
+from hornbeamgw.daemon.flow import WINDOW, Pacer
+from hornbeamgw.daemon.gate_attempt import (
+    GateAttempt,
+    log_end,
+    log_refused,
+    pump_body,
+    request_of,
+    stop,
+)
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end, header
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.outgoing import Outgoing
@@ -37,22 +45,6 @@
 ANSWER_MAX_S = 10.0
 
 
-class _Attempt:
-    """Hold one attempt of another daemon, from its arrival to its end."""
-
-    def __init__(self, attempt: AttemptId, link: Link, call: frames.Call) -> None:
-        self.id = attempt
-        self.link = link
-        self.call = call
-        self.bodies: Mailbox[frames.Body] = Mailbox()
-        self.task: asyncio.Task[Failure | None] | None = None
-        self.outgoing: Outgoing | None = None
-        self.limit: asyncio.Timeout | None = None
-        self.deadline = 0.0
-        self.arrived_at = asyncio.get_running_loop().time()
-        self.started_at = self.arrived_at
-
-
 class Gate:
     """Own the admission state and the connections to the backend server."""
 
@@ -77,7 +69,7 @@
         self.idle.set()
         self._snapshot = snapshot
         self._on_server_change = on_server_change
-        self._attempts: dict[AttemptId, _Attempt] = {}
+        self._attempts: dict[AttemptId, GateAttempt] = {}
         self._stopping = False
         self._reserved_for: tuple[Snapshot, str] | None = None
 
@@ -132,7 +124,7 @@
         """End what still runs and return the call ids that were cut off."""
         running = [a for a in self._attempts.values() if a.task is not None]
         for attempt in running:
-            _stop(attempt)
+            stop(attempt)
         return [attempt.call.call_id for attempt in running]
 
     def on_frame(self, link: Link, frame: frames.Frame) -> None:
@@ -190,25 +182,13 @@
         now = asyncio.get_running_loop().time()
         attempt_id = AttemptId(link.peer.member, link.peer.incarnation, call.attempt)
         limits = self._limits(call.entry) or (call.limits if call.limits.slots else None)
-        attempt = _Attempt(attempt_id, link, call)
+        attempt = GateAttempt(attempt_id, link, call)
         if limits is None:
             failure = not_run(Reason.NOT_READY, f"entry {call.entry}", RETRY_AFTER_NOT_READY_MS)
             self._send_failure(attempt, failure)
             return
         self._refresh_reserved()
-        request = admission.Request(
-            attempt_id,
-            call.entry,
-            limits,
-            now + call.deadline_ms / 1000,
-            call.route,
-            now + call.objective_ms / 1000,
-            call.aim_ms / 1000,
-            call.priority,
-            call.came_back,
-            self._transfer(link, call.route),
-            now,
-        )
+        request = request_of(call, attempt_id, limits, self._transfer(link, call.route), now)
         decision = admission.admit(self.state, request, call.service, now)
         if not isinstance(decision, Refused):
             self._attempts[attempt_id] = attempt
@@ -231,19 +211,8 @@
         if limits is None:
             return frames.Outlook(asked.number, False, 0, 0, RETRY_AFTER_NOT_READY_MS)
         self._refresh_reserved()
-        request = admission.Request(
-            AttemptId(link.peer.member, link.peer.incarnation, 0),
-            asked.entry,
-            limits,
-            now + asked.deadline_ms / 1000,
-            asked.route,
-            now + asked.objective_ms / 1000,
-            asked.aim_ms / 1000,
-            asked.priority,
-            asked.came_back,
-            self._transfer(link, asked.route),
-            now,
-        )
+        attempt_id = AttemptId(link.peer.member, link.peer.incarnation, 0)
+        request = request_of(asked, attempt_id, limits, self._transfer(link, asked.route), now)
         outlook = admission.outlook(self.state, request, asked.service, now)
         free, _ = self._load()
         wait = outlook.wait + request.transfer
@@ -260,13 +229,13 @@
         self.counts[f"resolved.{verdict}"] += 1
         link.send(frames.Resolution(question.attempt, verdict is not Verdict.NOT_RUN))
 
-    def _on_cancel(self, attempt: _Attempt) -> None:
+    def _on_cancel(self, attempt: GateAttempt) -> None:
         now = asyncio.get_running_loop().time()
         self.counts["cancelled"] += 1
         if admission.withdraw(self.state, attempt.id, now):
             self._forget(attempt)
         elif attempt.task is not None and (attempt.call.idempotent or attempt.task.done()):
-            _stop(attempt)
+            stop(attempt)
 
     def _act(self, decisions: list[Decision]) -> None:
         for decision in decisions:
@@ -280,7 +249,7 @@
                 self._send_failure(attempt, decision.failure)
                 self._forget(attempt)
 
-    def _forget(self, attempt: _Attempt) -> None:
+    def _forget(self, attempt: GateAttempt) -> None:
         self._attempts.pop(attempt.id, None)
         if not self._attempts:
             self.idle.set()
@@ -293,35 +262,19 @@
         repeats = sum(self._attempts[a].call.repeat for a in running if a in self._attempts)
         return repeats / len(running)
 
-    def _send_failure(self, attempt: _Attempt, failure: Failure) -> None:
+    def _send_failure(self, attempt: GateAttempt, failure: Failure) -> None:
         free, wait_ms = self._load()
         if attempt.task is None:
-            self._log_refused(attempt, failure, wait_ms)
+            log_refused(attempt, failure, wait_ms, self.state)
         attempt.link.send(frames.Refusal(attempt.call.attempt, failure, free, wait_ms))
 
-    def _log_refused(self, attempt: _Attempt, failure: Failure, wait_ms: int) -> None:
-        call = attempt.call
-        told = {"reason": failure.reason, "verdict": failure.verdict, "wait_ms": wait_ms}
-        told |= {"running": len(self.state.running_by_attempt), "waiting": len(self.state.queue)}
-        told |= {"objective_ms": call.objective_ms, "deadline_ms": call.deadline_ms}
-        log.info("attempt refused", extra={"call_id": call.call_id, "route": call.route, **told})
-
-    def _log_end(self, attempt: _Attempt, failure: Failure | None, now: float) -> None:
-        told: dict[str, object] = {"call_id": attempt.call.call_id, "route": attempt.call.route}
-        told["waited_ms"] = round((attempt.started_at - attempt.arrived_at) * 1000, 1)
-        told["held_ms"] = round((now - attempt.started_at) * 1000, 1)
-        told["verdict"] = Verdict.ANSWERED if failure is None else failure.verdict
-        if failure is not None:
-            told |= {"reason": failure.reason, "detail": failure.detail}
-        log.info("attempt ended", extra=told)
-
     def _load(self) -> tuple[int, int]:
         """Return the free slots, and how long (ms) a newcomer would wait."""
         now = asyncio.get_running_loop().time()
         wait = admission.expected_wait(self.state, now)
         return admission.free_slots(self.state), min(MAX_WAIT_MS, round(wait * 1000))
 
-    def _start(self, attempt: _Attempt, deadline: float) -> None:
+    def _start(self, attempt: GateAttempt, deadline: float) -> None:
         self.counts["admitted"] += 1
         started = asyncio.get_running_loop().time()
         attempt.deadline = deadline
@@ -329,7 +282,7 @@
         attempt.task = asyncio.create_task(self._run(attempt, deadline))
         attempt.task.add_done_callback(lambda task: self._finish(attempt, started, task))
 
-    async def _run(self, attempt: _Attempt, deadline: float) -> Failure | None:
+    async def _run(self, attempt: GateAttempt, deadline: float) -> Failure | None:
         try:
             async with asyncio.timeout_at(deadline) as attempt.limit:
                 return await self._exchange(attempt)
@@ -340,7 +293,7 @@
             return may_have_run(Reason.BACKEND_BROKE, repr(error))
 
     def _finish(
-        self, attempt: _Attempt, started: float, task: asyncio.Task[Failure | None]
+        self, attempt: GateAttempt, started: float, task: asyncio.Task[Failure | None]
     ) -> None:
         """Free the slot; here, since a task cancelled before its first step runs nothing."""
         if task.cancelled():
@@ -348,7 +301,7 @@
         else:
             failure = task.result()
         now = asyncio.get_running_loop().time()
-        self._log_end(attempt, failure, now)
+        log_end(attempt, failure, now)
         decisions = admission.finish(self.state, attempt.id, started, now)
         if failure is not None:
             self.counts[f"failed.{failure.reason}"] += 1
@@ -356,7 +309,7 @@
         self._end(attempt, failure)
         self._act(decisions)
 
-    def _end(self, attempt: _Attempt, failure: Failure | None) -> None:
+    def _end(self, attempt: GateAttempt, failure: Failure | None) -> None:
         """Forget an attempt once the rest of its answer is sent, or at once where it failed."""
         outgoing = attempt.outgoing
         if outgoing is None or outgoing.task.done() or failure is not None:
@@ -366,13 +319,13 @@
             return
         outgoing.task.add_done_callback(lambda _: self._forget(attempt))
 
-    def _on_stalled(self, attempt: _Attempt) -> None:
+    def _on_stalled(self, attempt: GateAttempt) -> None:
         self.counts["stalled_answers"] += 1
         failure = may_have_run(Reason.DEADLINE, "the caller's daemon took no more of the answer")
         log.warning("answer stalled", extra={"call_id": attempt.call.call_id})
         self._send_failure(attempt, failure)
 
-    async def _exchange(self, attempt: _Attempt) -> Failure | None:
+    async def _exchange(self, attempt: GateAttempt) -> Failure | None:
         call = attempt.call
         try:
             connection = await self.pool.acquire(call.idempotent)
@@ -384,7 +337,7 @@
             sent = self._send_request(connection, call, attempt.deadline)
             if not call.end:
                 attempt.link.send(frames.Credit(call.attempt, WINDOW))
-                pump = asyncio.create_task(_pump_body(attempt, connection))
+                pump = asyncio.create_task(pump_body(attempt, connection))
             return await self._relay_reply(attempt, connection, sent)
         except (ConnectionLost, h11.ProtocolError, msgspec.MsgspecError) as error:
             detail = str(error) or "the backend server closed the connection"
@@ -405,12 +358,12 @@
         connection.send(*events)
         return events if call.end else []
 
-    def _held_ms(self, attempt: _Attempt) -> int:
+    def _held_ms(self, attempt: GateAttempt) -> int:
         now = asyncio.get_running_loop().time()
         return round((now - self.state.started_by_attempt.get(attempt.id, now)) * 1000)
 
     async def _relay_reply(
-        self, attempt: _Attempt, connection: HttpConnection, sent: list[h11.Event]
+        self, attempt: GateAttempt, connection: HttpConnection, sent: list[h11.Event]
     ) -> Failure | None:
         call_id = attempt.call.call_id
         event, foreign = await server_answer.next_head(connection, self.dialect, call_id, sent)
@@ -454,27 +407,8 @@
         transfers.note_size(self._transfers, attempt.call.route, size)
         return None
 
-    def _open_outgoing(self, attempt: _Attempt, limit: float) -> Outgoing:
+    def _open_outgoing(self, attempt: GateAttempt, limit: float) -> Outgoing:
         link, number = attempt.link, attempt.call.attempt
         pacer = self._pacer if link.peer != link.hello else Pacer()
         attempt.outgoing = Outgoing(link, number, pacer, limit, lambda: self._on_stalled(attempt))
         return attempt.outgoing
-
-
-def _stop(attempt: _Attempt) -> None:
-    if attempt.task is not None:
-        attempt.task.cancel()
-    if attempt.outgoing is not None:
-        attempt.outgoing.stop()
-
-
-async def _pump_body(attempt: _Attempt, connection: HttpConnection) -> None:
-    while True:
-        part = await attempt.bodies.get()
-        if part.data:
-            connection.send(h11.Data(data=part.data))
-            await connection.drain()
-            attempt.link.send(frames.Credit(attempt.call.attempt, len(part.data)))
-        if part.end:
-            connection.send(h11.EndOfMessage())
-            return
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -42,6 +42,7 @@
 from hornbeamgw.daemon.peers import PeerServer
 from hornbeamgw.daemon.reader import Reader
 from hornbeamgw.daemon.reload import Reloader
+from hornbeamgw.daemon.servers import Servers
 
 log = logging.getLogger(__name__)
 
@@ -91,6 +92,7 @@
         )
         self.links = Links(lambda: self.control.hello, self.control.fault)
         choose = balancing.chooser_of(settings.calls_balancing)
+        servers = Servers(self.links, choose, rng)
         replay_limit = round(settings.calls_replay_limit)
         identity = Identity(dialect, settings.server_service)
         bound = Bound(settings.budget_ratio, settings.budget_slack, settings.budget_window)
@@ -98,7 +100,7 @@
         self.calls = Calls(
             self._view,
             self.links,
-            choose,
+            servers,
             replay_limit,
             rng,
             identity,
--- /dev/null
+++ b/hornbeamgw/daemon/servers.py
@@ -0,0 +1,105 @@
+"""Servers: what this daemon saw of each backend server, and where it sends a call."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from hornbeamgw.core import balancing, placement, sampling
+from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load
+from hornbeamgw.core.membership import Member
+from hornbeamgw.core.placement import PlacementState, RouteTraits
+from hornbeamgw.daemon import frames
+from hornbeamgw.daemon.attempts import Links
+from hornbeamgw.daemon.call import Call, View, objective_left_ms, sooner
+from hornbeamgw.daemon.outlooks import Told
+
+NOTHING_TOLD = Told((), (), 0)
+
+
+class Servers:
+    """Own the loads of backend servers and the traits of routes."""
+
+    def __init__(self, links: Links, choose: Chooser, rng: random.Random) -> None:
+        """Take the links to ask on and the way to choose by what was heard before."""
+        self._links = links
+        self._choose = choose
+        self._rng = rng
+        self._placement = PlacementState()
+        self._loads_by_address: dict[str, Load] = {}
+        self._serving_at = -1
+        self._serving_by_service: dict[str, list[Member]] = {}
+
+    def traits_of(self, call: Call) -> RouteTraits:
+        """Return what answers of a call's route are like."""
+        return placement.traits_of(self._placement, call.route.name, call.aim)
+
+    def has_other(self, call: Call, view: View, now: float) -> bool:
+        """Return whether there is a server that a call has not been sent to."""
+        candidates = self._candidates(view, call.service, now)
+        return any(c.member.address not in call.tried for c in candidates)
+
+    def _candidates(self, view: View, service: str, now: float) -> list[Candidate]:
+        if view.generation != self._serving_at:
+            self._serving_at = view.generation
+            self._serving_by_service.clear()
+        members = self._serving_by_service.get(service)
+        if members is None:
+            members = balancing.serving(view.members, service)
+            self._serving_by_service[service] = members
+        loads = self._loads_by_address
+        return [Candidate(m, loads.get(m.address) or self._load(m, now)) for m in members]
+
+    def _load(self, member: Member, now: float) -> Load:
+        return self._loads_by_address.setdefault(member.address, Load(now))
+
+    def _choice(self, call: Call, view: View, now: float) -> Choice:
+        candidates = self._candidates(view, call.service, now)
+        traits = self.traits_of(call)
+        return Choice(view.me, candidates, call.tried, traits, call.aim, now)
+
+    async def choose(self, call: Call, view: View) -> Candidate | None:
+        """Return where to send a call: by what was heard of all servers, or by asking some."""
+        choice = self._choice(call, view, asyncio.get_running_loop().time())
+        if not sampling.worth_asking(choice):
+            return self._choose(choice, self._rng)
+        found = self._best_taker(call, choice)
+        while call.rounds_left and not (found and sampling.is_good(found.load.wait, call.aim)):
+            is_near = call.rounds_left == sampling.ROUNDS
+            call.rounds_left -= 1
+            told = await self._ask(call, sampling.sample(choice, is_near, self._rng))
+            call.takers += told.takers
+            call.tried += [c.member.address for c in told.refusers]
+            call.retry_after_ms = sooner(call.retry_after_ms, told.retry_after_ms)
+            choice = choice._replace(now=asyncio.get_running_loop().time())
+            found = self._best_taker(call, choice)
+        if found is None and not call.retry_after_ms:
+            return self._choose(choice, self._rng)
+        return found
+
+    def _best_taker(self, call: Call, choice: Choice) -> Candidate | None:
+        takers = [c for c in call.takers if c.member.address not in call.tried]
+        return sampling.best(choice, takers)
+
+    async def _ask(self, call: Call, candidates: Sequence[Candidate]) -> Told:
+        opened = [(c, self._links.open_link(c.member.address)) for c in candidates]
+        linked = {link: candidate for candidate, link in opened if link is not None}
+        if not linked:
+            return NOTHING_TOLD
+        now = asyncio.get_running_loop().time()
+        left = call.deadline - now
+        request = frames.OutlookRequest(
+            0,
+            call.service,
+            call.route.entry.name,
+            call.route.name,
+            max(1, round(left * 1000)),
+            objective_left_ms(call, now),
+            call.route.objective_ms,
+            call.route.priority,
+            call.came_back,
+        )
+        self._links.counts["outlooks_asked"] += len(linked)
+        call.asked += len(linked)
+        return await self._links.outlooks.ask(linked, request)
