--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -16,6 +16,8 @@
 ROOT = Path(__file__).parent.parent
 LIMIT_S = 120
 FLEET = "features/randomised.feature"
+PACING = "features/pacing.feature"
+SAMPLING = "features/sampling.feature"
 CALLS = "features/calls.feature"
 ADMISSION = "features/admission.feature"
 COMMIT = "features/commit.feature"
@@ -72,7 +74,10 @@
         "a delta follows from its parent",
         "hornbeamgw/core/edit.py",
         (
-            ('if delta["version"] != catalogue.version + 1:', "if False:"),
+            (
+                'if parent_of(delta) != catalogue.version or delta["version"] <= catalogue.version:',
+                "if False:",
+            ),
             ('if delta["parent_digest"] != catalogue.digest:', "if False:"),
             ('if digest_of(items) != delta["digest"]:', "if False:"),
         ),
@@ -149,7 +154,7 @@
     ),
     Mutant(
         "a broken answer is never passed on as whole",
-        "hornbeamgw/daemon/calls.py",
+        "hornbeamgw/daemon/relay.py",
         (
             (
                 'raise ConnectionLost(f"{type(event).__name__} before the end of the answer")',
@@ -164,6 +169,35 @@
         (("    if state.server_state is ServerState.DRAINING:\n", "    if False:\n"),),
         ADMISSION,
     ),
+    Mutant(
+        "a large answer leaves at the pace of the link",
+        "hornbeamgw/core/pacing.py",
+        (("return max(0.0, state.free_at - now - BACKLOG_S)", "return 0.0"),),
+        PACING,
+    ),
+    Mutant(
+        "a slot is free before its answer has travelled",
+        "hornbeamgw/daemon/gate.py",
+        (
+            (
+                "            await outgoing.room()\n        transfers",
+                "        await outgoing.task\n        transfers",
+            ),
+        ),
+        PACING,
+    ),
+    Mutant(
+        "gates of one's own data centre are asked first",
+        "hornbeamgw/core/sampling.py",
+        (("(c.member.data_centre == choice.me.data_centre) is is_near", "True"),),
+        SAMPLING,
+    ),
+    Mutant(
+        "asking admits nothing",
+        "hornbeamgw/core/admission.py",
+        (("        return Outlook(True, 0.0)\n", "        _start(state, request, now)\n"),),
+        SAMPLING,
+    ),
     Mutant(
         "a living peer that is silent leaves the floor unsure",
         "hornbeamgw/core/floor.py",
@@ -186,7 +220,7 @@
 
 
 def _copy(target: Path) -> None:
-    for name in ("hornbeamgw", "features", "properties", "catalogue"):
+    for name in ("hornbeamgw", "platform", "deploy", "docs", "features", "properties", "catalogue"):
         ignored = shutil.ignore_patterns("__pycache__")
         shutil.copytree(ROOT / name, target / name, ignore=ignored)
 
