--- a/features/outside.feature
+++ b/features/outside.feature
@@ -40,6 +40,35 @@
     Then all of them have version 3 in force within 5 seconds
     And none has lost the store
 
+  Scenario Outline: The store turns one VM away and serves the others
+    Given one of them reaches the store at an address of its own
+    And the store answers with "<fault>" there
+    When the operator writes version 14 with one more route
+    Then all of them have version 14 in force within 3 seconds
+
+    Examples:
+      | fault  |
+      | outage |
+      | busy   |
+      | reset  |
+      | silent |
+
+  Scenario Outline: The write of a daemon's own row gets no answer
+    Given the next write to the store is "<fault>"
+    When one of them restarts as a new process at the same address
+    Then all of them have version 3 in force and know one another
+    And the row of each of them is in the store after 2 seconds
+
+    Examples:
+      | fault       |
+      | lose_answer |
+      | late        |
+
+  Scenario: The store bounds the calls of a second
+    Given the store takes 4 calls a second
+    When the operator writes version 16 with one more route
+    Then all of them have version 16 in force within 3 seconds
+
   Scenario: A daemon that starts while the store is away takes the version of its peers
     Given the store answers with "outage"
     When one of them restarts as a new process at the same address
--- a/features/steps/outside.py
+++ b/features/steps/outside.py
@@ -34,14 +34,14 @@
     return msgspec.msgpack.encode(document)
 
 
-async def start_daemon(context, address="127.0.0.1:0"):
+async def start_daemon(context, address="127.0.0.1:0", store_address=""):
     return await context.fleet.start(
         address=address,
         seeds=(),
         directory=True,
         source="watched_row",
         platform_adapter="mesh",
-        platform_address=context.store_address,
+        platform_address=store_address or context.store_address,
         platform_timeout=0.5,
     )
 
@@ -137,6 +137,41 @@
     context.store.fault = fault
 
 
+@given("one of them reaches the store at an address of its own")
+def own_door(context):
+    async def move():
+        context.own_address = await context.store.start()
+        daemon = context.living[0]
+        address = daemon.control.view.me.address
+        await context.fleet.crash(daemon)
+        context.living[0] = await start_daemon(context, address, context.own_address)
+        await in_force(context, 3)
+
+    context.runner.run(move())
+
+
+@given('the store answers with "{fault}" there')
+def faulty_there(context, fault):
+    context.store.fail_at(context.own_address, fault)
+
+
+@given('the next write to the store is "{fault}"')
+def next_write(context, fault):
+    context.store.write_faults.append(fault)
+
+
+@given("the store takes {rate:d} calls a second")
+def rate(context, rate):
+    context.store.calls_per_s = rate
+
+
+@then("the row of each of them is in the store after {seconds:d} seconds")
+def rows_there(context, seconds):
+    context.runner.run(asyncio.sleep(seconds))
+    keys = {key for table, key in context.store.rows_by_place if table == TABLE}
+    assert keys >= {daemon.control.view.me.address for daemon in context.living}, keys
+
+
 @when("{seconds:d} seconds pass")
 def passes(context, seconds):
     context.runner.run(asyncio.sleep(seconds))
--- a/hornbeamgw/testing/store.py
+++ b/hornbeamgw/testing/store.py
@@ -1,4 +1,4 @@
-"""Stand-in store: rows, conditional transactions and a feed, as the users' platform publishes."""
+"""Stand-in store: rows, transactions, a feed and objects, as the users' platform publishes."""
 
 from __future__ import annotations
 
@@ -12,16 +12,21 @@
 import h11
 import msgspec
 
-from hornbeamgw.daemon.http1 import HttpConnection
+from hornbeamgw.daemon.http1 import HttpConnection, header
 from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
 
 BODY_LIMIT = 1024 * 1024
 PAGE_LIMIT = 500
+OBJECT_PAGE = 1000
 OUTAGE = "outage"  # 503: nothing was done
 BUSY = "busy"  # 429
 RESET = "reset"
 SILENT = "silent"
 LOSE_ANSWER = "lose_answer"  # done, and the connection breaks
+LATE = "late"  # not answered, and done only later, if its condition still holds
+LATE_S = 0.5
+RATE_WINDOW_S = 1.0
+OBJECT_PREFIXES = ("/-/blob-put/", "/-/blob-get/", "/-/blob-drop/")
 TRICKLE = "trickle"  # an answer comes in parts, each a while after the last
 SILENT_S = 60.0
 TRICKLE_PARTS = 4
@@ -56,8 +61,20 @@
     deleted: bool
 
 
+class _Door:
+    """Serve a store to some VMs, with faults of their own."""
+
+    def __init__(self, store: StandInStore) -> None:
+        self.fault = ""
+        self._store = store
+        self.server = HttpServer(self._handle, Timeouts())
+
+    async def _handle(self, connection: HttpConnection, request: h11.Request) -> None:
+        await self._store.handle(connection, request, self.fault)
+
+
 class StandInStore:
-    """Serve rows over HTTP; faults are set by the caller, for all or for one table."""
+    """Serve rows and objects over HTTP; faults are set by the caller, for all or for some VMs."""
 
     def __init__(self) -> None:
         """Start empty and without faults."""
@@ -68,17 +85,31 @@
         self.fault = ""
         self.write_faults: deque[str] = deque()
         self.calls = 0
+        self.calls_per_s = 0
+        self.objects_by_name: dict[str, bytes] = {}
+        self._answered_at: deque[float] = deque()
         self._changed = asyncio.Event()
-        self._server = HttpServer(self._handle, Timeouts())
+        self._doors_by_address: dict[str, _Door] = {}
+        self._late: set[asyncio.Task[None]] = set()
 
     async def start(self, address: str = "127.0.0.1:0") -> str:
-        """Listen and return the address in use."""
-        return await self._server.start(address)
+        """Listen and return the address in use; call again for VMs with faults of their own."""
+        door = _Door(self)
+        listening = await door.server.start(address)
+        self._doors_by_address[listening] = door
+        return listening
+
+    def fail_at(self, address: str, fault: str) -> None:
+        """Set a fault for those VMs alone that reach the store at an address."""
+        self._doors_by_address[address].fault = fault
 
     def close(self) -> None:
         """Stop at once."""
-        self._server.stop_accepting()
-        self._server.abort()
+        for task in self._late:
+            task.cancel()
+        for door in self._doors_by_address.values():
+            door.server.stop_accepting()
+            door.server.abort()
 
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row as the operator does, past all faults."""
@@ -101,14 +132,18 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _handle(self, connection: HttpConnection, request: h11.Request) -> None:
+    async def handle(
+        self, connection: HttpConnection, request: h11.Request, fault: str = ""
+    ) -> None:
+        """Answer a call, as a fault of some VMs or of all lets it."""
         body = await read_body(connection, BODY_LIMIT)
         self.calls += 1
+        fault = fault or self.fault or (BUSY if self._is_over_rate() else "")
+        if await _fail(connection, fault):
+            return
         url = urlsplit(request.target.decode())
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
-        if await self._fail(connection):
-            return
-        if url.path == "/-/rows-get" and self.fault == TRICKLE:
+        if url.path == "/-/rows-get" and fault == TRICKLE:
             await _trickle(connection, self._page(query))
         elif url.path == "/-/rows-get":
             _answer(connection, 200, self._page(query))
@@ -116,18 +151,45 @@
             status, document = await self._feed(query)
             _answer(connection, status, document)
         elif url.path == "/-/rows-tx":
-            self._transact(connection, msgspec.msgpack.decode(body))
+            self._take_transaction(connection, msgspec.msgpack.decode(body))
+        elif url.path == "/-/blob-list":
+            _answer(connection, 200, self._names(query))
+        elif url.path.startswith(OBJECT_PREFIXES):
+            self._take_object(connection, request, url.path, body)
         else:
             _answer(connection, 404, {"error": url.path})
 
-    async def _fail(self, connection: HttpConnection) -> bool:
-        if self.fault == RESET:
-            connection.abort()
-        elif self.fault == SILENT:
-            await asyncio.sleep(SILENT_S)
-        elif self.fault in (OUTAGE, BUSY):
-            _answer(connection, 503 if self.fault == OUTAGE else 429, {})
-        return bool(self.fault) and self.fault != TRICKLE
+    def _is_over_rate(self) -> bool:
+        now = time.monotonic()
+        while self._answered_at and now - self._answered_at[0] > RATE_WINDOW_S:
+            self._answered_at.popleft()
+        if self.calls_per_s and len(self._answered_at) >= self.calls_per_s:
+            return True
+        self._answered_at.append(now)
+        return False
+
+    def _names(self, query: dict[str, str]) -> dict[str, Any]:
+        prefix, after = query.get("prefix", ""), query.get("after", "")
+        found = sorted(n for n in self.objects_by_name if n.startswith(prefix) and n > after)
+        return {"names": found[:OBJECT_PAGE], "has_more": len(found) > OBJECT_PAGE}
+
+    def _take_object(
+        self, connection: HttpConnection, request: h11.Request, path: str, body: bytes
+    ) -> None:
+        name = path.split("/", 3)[3]
+        if request.method == b"PUT":
+            if header(request.headers, b"if-none-match") == b"*" and name in self.objects_by_name:
+                _answer(connection, 412, {})
+                return
+            self.objects_by_name[name] = body
+            _answer(connection, 200, {})
+        elif name not in self.objects_by_name:
+            _answer(connection, 404, {})
+        elif request.method == b"DELETE":
+            del self.objects_by_name[name]
+            _answer(connection, 200, {})
+        else:
+            send_response(connection, 200, [], self.objects_by_name[name])
 
     def _stamp(self, document: dict[str, Any]) -> dict[str, Any]:
         return {**document, "api_version": self.state, "now_ms": time.monotonic() * 1000}
@@ -161,21 +223,48 @@
             except TimeoutError:
                 pass
 
-    def _transact(self, connection: HttpConnection, asked: dict[str, Any]) -> None:
+    def _take_transaction(self, connection: HttpConnection, asked: dict[str, Any]) -> None:
         fault = self.write_faults.popleft() if self.write_faults else ""
+        if fault == LATE:
+            task = asyncio.create_task(self._transact_late(asked))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            connection.abort()
+            return
+        unmet = self._transact(asked)
+        if fault == LOSE_ANSWER:
+            connection.abort()
+        elif unmet is not None:
+            _answer(connection, 412, self._stamp({"rows": unmet}))
+        else:
+            _answer(connection, 200, self._stamp({}))
+
+    async def _transact_late(self, asked: dict[str, Any]) -> None:
+        await asyncio.sleep(LATE_S)
+        self._transact(asked)
+
+    def _transact(self, asked: dict[str, Any]) -> list[dict[str, Any]] | None:
+        """Apply all entries, or none and return the rows of the unmet condition."""
         for row in asked.get("expect", ()):
             held = self.rows_by_place.get((row["table"], row["key"]))
             if row["api_version"] != (held.state if held else 0):
-                _answer(connection, 412, self._stamp({"rows": [_encode(held)] if held else []}))
-                return
+                return [_encode(held)] if held else []
         for row in asked.get("puts", ()):
             self._write(row["table"], row["key"], row["value"])
         for row in asked.get("deletes", ()):
             self._write(row["table"], row["key"], None)
-        if fault == LOSE_ANSWER:
-            connection.abort()
-            return
-        _answer(connection, 200, self._stamp({}))
+        return None
+
+
+async def _fail(connection: HttpConnection, fault: str) -> bool:
+    """Answer as a fault has it; return whether that was all."""
+    if fault == RESET:
+        connection.abort()
+    elif fault == SILENT:
+        await asyncio.sleep(SILENT_S)
+    elif fault in (OUTAGE, BUSY):
+        _answer(connection, 503 if fault == OUTAGE else 429, {})
+    return bool(fault) and fault != TRICKLE
 
 
 def _encode(row: _Stored) -> dict[str, Any]:
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -75,7 +75,8 @@
         "hornbeamgw/core/edit.py",
         (
             (
-                'if parent_of(delta) != catalogue.version or delta["version"] <= catalogue.version:',
+                "if parent_of(delta) != catalogue.version or "
+                'delta["version"] <= catalogue.version:',
                 "if False:",
             ),
             ('if delta["parent_digest"] != catalogue.digest:', "if False:"),
