Add a soak of real processes that are harmed from outside

What: daemons are killed, stopped, paused and restarted by signals; the platform, the backend servers and the callers are reached by loopback proxies that delay, cut one way, silence, refuse and reset; operators edit all the while; faults are drawn from a seed and overlap. What callers were told is compared with what backend servers ran, versions are watched, and at the end a change must reach everybody. Not covered: paths between daemons (signals only), clocks.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 READY := $(VENV)/.ready
 SEED ?= 1
 MINUTES ?= 5
+SEEDS ?= 1-5
 
-.PHONY: setup demo test lint bench soak spec mutants clean
+.PHONY: setup demo test lint bench soak soak-fleet spec mutants clean
 
 setup: $(READY)
 
@@ -37,6 +38,9 @@
 soak: setup
 	$(PYTHON) -m properties.soak $(MINUTES)
 
+soak-fleet: setup
+	$(PYTHON) -m properties.fleet_soak $(SEEDS)
+
 spec: setup
 	command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
 	$(PYTHON) spec/check.py
--- a/hornbeamgw/testing/backend.py
+++ b/hornbeamgw/testing/backend.py
@@ -39,6 +39,7 @@
     daemon_admin: str
     work: float = 0.002
     cold_start: float = 0.0
+    announced: str = ""
 
 
 class StandInBackend:
@@ -76,7 +77,7 @@
     async def _announce(self) -> None:
         document = {
             "service": self.options.service,
-            "address": self.address,
+            "address": self.options.announced or self.address,
             "slots": self.options.slots,
             "connections": self.options.connections,
             "state": self.state,
--- a/hornbeamgw/testing/command.py
+++ b/hornbeamgw/testing/command.py
@@ -60,6 +60,7 @@
     connections: Annotated[int, cappa.Arg(long=True, help="connections at once")] = 130
     work_ms: Annotated[float, cappa.Arg(long=True, help="time a request takes (ms)")] = 2.0
     cold_start_ms: Annotated[float, cappa.Arg(long=True, help="time to warm up (ms)")] = 0.0
+    announced: Annotated[str, cappa.Arg(long=True, help="address to announce, if not its own")] = ""
 
     def __call__(self) -> None:
         """Run it."""
@@ -76,6 +77,7 @@
             self.daemon,
             self.work_ms / 1000,
             self.cold_start_ms / 1000,
+            self.announced,
         )
         backend = StandInBackend(options)
         _say({"listening": await backend.start()})
--- a/hornbeamgw/testing/fleet.py
+++ b/hornbeamgw/testing/fleet.py
@@ -207,13 +207,17 @@
         child.said = await self._first_line(child, "callers")
         return child
 
-    async def start_backend(self, place: Place, daemon: Child) -> Child | None:
-        """Start the backend server beside a daemon, where the place has one."""
+    async def start_backend(self, place: Place, daemon: Child, announced: str = "") -> Child | None:
+        """Start the backend server beside a daemon, where the place has one.
+
+        It may announce another address than its own, that of a proxy to it.
+        """
         if not place.service:
             return None
         command = ["hornbeamgw.testing.command", "backend", "--daemon", daemon.said["admin"]]
         command += ["--service", place.service, "--slots", str(place.slots)]
         command += ["--connections", str(place.connections), "--work-ms", str(place.work_ms)]
+        command += ["--announced", announced] if announced else []
         child = await self._spawn("backend", command)
         child.said = await self._first_line(child, "listening")
         return child
--- /dev/null
+++ b/properties/fleet_soak.py
@@ -0,0 +1,318 @@
+"""Fleet soak: real processes on loopback, harmed from outside by a seed, and what must hold.
+
+Daemons are killed, stopped, paused and started again; the platform, the backend servers and the
+callers are reached by proxies that delay, cut one way, silence and reset; operators edit all the
+while. Faults overlap. What callers were told is compared with what backend servers ran.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from hornbeamgw.core.edit import Change, Edit
+from hornbeamgw.testing.demo import example_edit
+from hornbeamgw.testing.fleet import Child, Fleet, Node, Place, ask
+from hornbeamgw.testing.load import Audit, Load, audit
+from hornbeamgw.testing.proxy import NO_HARM, Harm, Proxy
+
+SERVICES = ("slot-desk", "booking-payment", "roster", "planner", "reservation", "fixtures")
+WORKERS = 8
+PAUSE_S = 0.03
+SETTLE_S = 4.0
+CONVERGENCE_S = 12.0  # an accepted change is in force everywhere by then
+SAMPLE_EVERY_S = 0.2
+LEAST_ANSWERED_AFTER = 0.9  # of calls, once everything has been put right
+QUIET_CALLS_S = 2.0
+ACCEPT_TRIES = 8
+
+
+class Report(NamedTuple):
+    """Hold what one seed showed; all but the first four counts must be 0."""
+
+    seed: int
+    steps: int
+    calls: int
+    answered: int
+    faults: dict[str, int]
+    lost: int
+    doubled: int
+    said_not_run_but_ran: int
+    not_whole: int
+    cut_off: int
+    reverted: int
+    violations: int
+    not_converged: int
+    unserved_after: int
+
+
+PROMISES = Report._fields[5:]
+
+
+def broken(report: Report) -> dict[str, int]:
+    """Return the promises that a seed broke, with their counts."""
+    return {name: getattr(report, name) for name in PROMISES if getattr(report, name)}
+
+
+class Soak:
+    """Hold a fleet, its proxies, the load and what was seen."""
+
+    def __init__(self, fleet: Fleet, platform: Proxy, rng: random.Random) -> None:
+        """Take a fleet whose platform is reached by a proxy."""
+        self.fleet = fleet
+        self.rng = rng
+        self.platform = platform
+        self.servers: list[Proxy] = []
+        self.callers: dict[str, Proxy] = {}
+        self.load = Load(self._addresses, rng)
+        self.faults: Counter[str] = Counter()
+        self.reverted = self.cut_off = self.edits = 0
+        self.harmed: Counter[str] = Counter()
+        self._in_force: dict[str, int] = {}
+
+    def _addresses(self) -> list[str]:
+        return [proxy.address for proxy in self.callers.values()]
+
+    async def start(self, count: int) -> None:
+        """Start the nodes, with a proxy to each backend server and each daemon's callers' port."""
+        for index in range(count):
+            place = Place(f"dc-{index % 2}", "region", SERVICES[index % len(SERVICES)], 6, 130)
+            node = Node(place, await self.fleet.start_daemon(place), None)
+            self.fleet.nodes.append(node)
+            await self._start_server(node)
+            proxy = Proxy(node.callers)
+            await proxy.start()
+            self.callers[node.address] = proxy
+
+    async def _start_server(self, node: Node) -> None:
+        proxy = Proxy()
+        await proxy.start()
+        node.backend = await self.fleet.start_backend(node.place, node.daemon, proxy.address)
+        assert node.backend is not None
+        proxy.target = str(node.backend.said["listening"])
+        self.servers.append(proxy)
+
+    def close(self) -> None:
+        """Close the proxies."""
+        for proxy in [self.platform, *self.servers, *self.callers.values()]:
+            proxy.close()
+
+    # Faults: each is drawn from the seed, lasts a while and is put right
+
+    async def kill(self, node: Node) -> None:
+        """Kill a daemon outright and start it again with nothing."""
+        node.daemon.signal(signal.SIGKILL)
+        await node.daemon.process.wait()
+        await asyncio.sleep(self.rng.uniform(0, 1.5))
+        await self.fleet.restart_daemon(node)
+
+    async def stop(self, node: Node) -> None:
+        """Stop a daemon as planned, under callers that go on, and start it again."""
+        before = self.harmed.copy()
+        code = await node.daemon.stop()
+        others_harmed = self.harmed[node.address] > before[node.address]
+        self.cut_off += code != 0 and not others_harmed and not self.harmed["paths"]
+        await self.fleet.restart_daemon(node)
+
+    async def pause(self, child: Child) -> None:
+        """Let a process stand still for a while."""
+        child.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.2, 2.5))
+        child.signal(signal.SIGCONT)
+
+    async def harm(self, proxy: Proxy) -> None:
+        """Delay, cut one way, silence, refuse or reset what one proxy carries."""
+        kind = self.rng.choice(("delay", "cut_forth", "cut_back", "silence", "refuse", "reset"))
+        self.faults[f"path {kind}"] += 1
+        self.harmed["paths"] += 1
+        harms = {
+            "delay": Harm(delay=self.rng.uniform(0.01, 0.3)),
+            "cut_forth": Harm(cut_forth=True),
+            "cut_back": Harm(cut_back=True),
+            "silence": Harm(cut_forth=True, cut_back=True),
+            "refuse": Harm(refuse=True),
+        }
+        proxy.harm = harms.get(kind, NO_HARM)
+        if kind in ("refuse", "reset"):
+            proxy.reset()
+        await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+        if proxy.harm.cut_forth or proxy.harm.cut_back:
+            proxy.reset()
+        proxy.harm = NO_HARM
+
+    async def one_fault(self) -> None:
+        """Draw one fault and carry it out; one at a time for a daemon's own process."""
+        node = self.rng.choice(self.fleet.nodes)
+        kind = self.rng.choice(("kill", "stop", "pause", "pause server", "path", "path", "edit"))
+        if kind == "edit":
+            await self.edit()
+            return
+        if kind == "path":
+            paths = [self.platform, *self.servers, *self.callers.values()]
+            await self.harm(self.rng.choice(paths))
+            return
+        if self.harmed[f"busy {node.address}"]:
+            return
+        self.faults[kind] += 1
+        self.harmed[node.address] += kind != "stop"
+        self.harmed[f"busy {node.address}"] = 1
+        try:
+            await self._carry_out(kind, node)
+        finally:
+            self.harmed[f"busy {node.address}"] = 0
+
+    async def _carry_out(self, kind: str, node: Node) -> None:
+        assert node.backend is not None
+        actions: dict[str, Callable[[], Awaitable[None]]] = {
+            "kill": lambda: self.kill(node),
+            "stop": lambda: self.stop(node),
+            "pause": lambda: self.pause(node.daemon),
+            "pause server": lambda: self.pause(node.backend),  # type: ignore[arg-type]
+        }
+        await actions[kind]()
+
+    async def edit(self) -> int:
+        """Change one limit by a daemon drawn; return the version, 0 where none took it."""
+        self.edits += 1
+        edit_id = f"soak-{self.edits}"
+        for _ in range(ACCEPT_TRIES):
+            node = self.rng.choice([n for n in self.fleet.nodes if n.daemon.alive])
+            try:
+                async with asyncio.timeout(5.0):
+                    catalogue = await ask(node.admin, "GET", "/catalogue")
+                    key = sorted(k for k in catalogue["items"] if k.startswith("entry/"))[0]
+                    revision, body = catalogue["items"][key]
+                    body["limits"]["queue"] = 20 + self.edits
+                    changes = [Change(key=key, based_on=revision, body=body)]
+                    edit = Edit(edit_id=edit_id, author="soak", changes=changes)
+                    answer = await ask(node.admin, "POST", "/edits", edit)
+            except Exception:  # a harmed daemon may answer anything, or nothing
+                await asyncio.sleep(0.3)
+                continue
+            if "version" in answer:
+                return int(answer["version"])
+            await asyncio.sleep(0.3)
+        return 0
+
+    # Checks
+
+    async def watch(self) -> None:
+        """Look for daemons that go back to an older version."""
+        while True:
+            alive = [n for n in self.fleet.nodes if n.daemon.alive]
+            asked = [_version(node) for node in alive]
+            for row in await asyncio.gather(*asked):
+                if row and row["ready"]:
+                    held = self._in_force.get(row["address"], 0)
+                    self.reverted += row["in_force"] < held
+                    self._in_force[row["address"]] = max(held, row["in_force"])
+            await asyncio.sleep(SAMPLE_EVERY_S)
+
+    async def result(self) -> tuple[Audit, int]:
+        """Return the audit of all calls, and what the daemons' own invariants counted."""
+        servers = [n.backend for n in self.fleet.nodes if n.backend is not None]
+        asked = [ask(s.said["listening"], "POST", "/control/report", {}) for s in servers]
+        reports = list(await asyncio.gather(*asked))
+        rows = await asyncio.gather(*(ask(n.admin, "GET", "/counters") for n in self.fleet.nodes))
+        violations = sum(sum(row["invariants"].values()) for row in rows)
+        return audit(self.load.outcomes, reports), violations
+
+
+async def _version(node: Node) -> dict[str, Any] | None:
+    try:
+        async with asyncio.timeout(1.0):
+            row: dict[str, Any] = await ask(node.admin, "GET", "/version")
+            return row
+    except Exception:  # a harmed daemon may answer anything, or nothing
+        return None
+
+
+async def run(seed: int, steps: int, count: int) -> Report:
+    """Run one seed: so many faults, over so many nodes, two a second on average."""
+    rng = random.Random(seed)
+    platform = Proxy()
+    await platform.start()
+    async with Fleet(f"soak-{seed}", {"platform": {"address": platform.address}}) as fleet:
+        platform.target = fleet.platform_address
+        soak = Soak(fleet, platform, rng)
+        try:
+            return await _carry_out(soak, seed, steps, count)
+        finally:
+            soak.close()
+
+
+async def _carry_out(soak: Soak, seed: int, steps: int, count: int) -> Report:
+    fleet, rng = soak.fleet, soak.rng
+    await soak.start(count)
+    answer = await ask(fleet.nodes[0].admin, "POST", "/edits", example_edit(seed))
+    if not await fleet.wait_in_force(int(answer["version"]), CONVERGENCE_S):
+        raise RuntimeError("the example catalogue is not in force everywhere")
+    soak.load.start(WORKERS, PAUSE_S)
+    watching = asyncio.create_task(soak.watch())
+    under_way = []
+    for _ in range(steps):
+        under_way.append(asyncio.create_task(soak.one_fault()))
+        await asyncio.sleep(rng.expovariate(2.0))
+    await asyncio.gather(*under_way)
+    await asyncio.sleep(SETTLE_S)
+    version = await soak.edit()
+    converged = bool(version) and await fleet.wait_in_force(version, CONVERGENCE_S)
+    quiet_from = asyncio.get_running_loop().time()
+    await asyncio.sleep(QUIET_CALLS_S)
+    await soak.load.stop()
+    watching.cancel()
+    after = [o for o in soak.load.outcomes if o.at >= quiet_from]
+    served = sum(o.verdict == "answered" for o in after)
+    counted, violations = await soak.result()
+    return Report(
+        seed,
+        steps,
+        counted.calls,
+        counted.answered,
+        dict(soak.faults),
+        counted.lost,
+        counted.doubled,
+        counted.said_not_run_but_ran,
+        counted.not_whole,
+        soak.cut_off,
+        soak.reverted,
+        violations,
+        int(not converged),
+        int(served < LEAST_ANSWERED_AFTER * len(after)),
+    )
+
+
+def seeds_of(text: str) -> list[int]:
+    """Return the seeds that a range such as 1-50, or a list such as 3,7, names."""
+    seeds: list[int] = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    return seeds
+
+
+def main() -> None:
+    """Run seeds one after the other; exit code 1 where one broke a promise."""
+    text = sys.argv[1] if len(sys.argv) > 1 else "1-5"
+    steps = int(sys.argv[2]) if len(sys.argv) > 2 else 24
+    failed = []
+    for seed in seeds_of(text):
+        report = asyncio.run(run(seed, steps, len(SERVICES)))
+        print(msgspec.json.encode(report._asdict()).decode(), flush=True)
+        if broken(report):
+            failed.append(seed)
+            print(f"seed {seed} broke {broken(report)}", file=sys.stderr, flush=True)
+    total = len(seeds_of(text))
+    print(f"{total - len(failed)} passed, {len(failed)} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
