Tell runs of a backend server apart, and let other writers' words name none

Cause: a server may start again under its id with its sequence anew; its heartbeats were late ones to us, a drain of the former run stuck, and what was learned of its speed stayed. A row or heartbeat of another writer could end a page of rows (one bad row spoilt all, a bad base64 ended the task), or take the place of the server that lives here (a late one of an older run, an unknown service).

Change: when a run was started travels in heartbeats, announcements and members; loads of servers are kept by run; the gate ends what ran at a run that is over, as may_have_run, and forgets its speed. Rows are read one by one, members and heartbeats checked in full, bad ones left out with a log line.

--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -9,7 +9,9 @@
 
 from hornbeamgw.core import queueing, service_times
 from hornbeamgw.core.membership import ServerState
+from hornbeamgw.core.service_times import ServiceTimes
 from hornbeamgw.core.slots import (
+    FIRST_SERVICE_TIME_S,
     AdmissionState,
     Admitted,
     AttemptId,
@@ -36,6 +38,7 @@
     "drain",
     "expected_wait",
     "finish",
+    "forget_run",
     "free_slots",
     "next_decisions",
     "outlook",
@@ -188,11 +191,12 @@
 def finish(state: AdmissionState, attempt: AttemptId, started: float, now: float) -> list[Decision]:
     """Free the slot of a request and return what its end lets happen."""
     request = state.running_by_attempt.pop(attempt)
-    state.started_by_attempt.pop(attempt, None)
+    is_of_this_run = state.started_by_attempt.pop(attempt, None) is not None
     state.running_count_by_entry[request.entry] -= 1
     _remember(state, attempt, Fate.FINISHED, now)
-    state.service_time += SERVICE_TIME_WEIGHT * (now - started - state.service_time)
-    service_times.note(state.times, request.route, now - started)
+    if is_of_this_run:
+        state.service_time += SERVICE_TIME_WEIGHT * (now - started - state.service_time)
+        service_times.note(state.times, request.route, now - started)
     return next_decisions(state, now)
 
 
@@ -213,6 +217,14 @@
     return [_refuse(state, request, Reason.DRAINING, now) for request in waiting]
 
 
+def forget_run(state: AdmissionState) -> None:
+    """Forget how fast the backend server was: another run of it has been started."""
+    state.times = ServiceTimes()
+    state.slacks_by_route.clear()
+    state.started_by_attempt.clear()
+    state.service_time = FIRST_SERVICE_TIME_S
+
+
 def resolve(state: AdmissionState, attempt: AttemptId, age: float, now: float) -> Verdict:
     """Answer whether an attempt of this age (s) ran; one never admitted is fenced for good."""
     known = state.fates_by_attempt.get(attempt)
--- a/hornbeamgw/core/balancing.py
+++ b/hornbeamgw/core/balancing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 from typing import TYPE_CHECKING, NamedTuple
@@ -143,7 +144,11 @@
 
 
 class Choice(NamedTuple):
-    """Hold what a backend server is chosen by, for one attempt; the aim in seconds."""
+    """Hold what a backend server is chosen by, for one attempt.
+
+    The aim is the route's objective (s), and the objective the time by which this one should be
+    answered.
+    """
 
     me: Member
     candidates: list[Candidate]
@@ -151,6 +156,12 @@
     traits: RouteTraits
     aim: float
     now: float
+    objective: float = math.inf
+
+    @property
+    def left(self) -> float:
+        """Return how much time (s) is left to answer within the objective."""
+        return min(self.aim, self.objective - self.now)
 
 
 Chooser = Callable[[Choice, random.Random], Candidate | None]
--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -35,7 +35,10 @@
 
 
 class Member(NamedTuple):
-    """Hold one daemon and the backend server beside it; bandwidth in bytes/s, 0 if unknown."""
+    """Hold one daemon and the backend server beside it; bandwidth in bytes/s, 0 if unknown.
+
+    What was learned of a server holds for the run that was started at that Unix time (ms).
+    """
 
     address: str
     data_centre: str
@@ -49,6 +52,7 @@
     version: int = 0
     admin: str = ""
     bandwidth: int = 0
+    server_started_ms: int = 0
 
 
 class Probe(NamedTuple):
--- a/hornbeamgw/core/options.py
+++ b/hornbeamgw/core/options.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from hornbeamgw.core import balancing, slots, spreading
+from hornbeamgw.core import crossing as _crossing  # noqa: F401  (registers itself)
 from hornbeamgw.core import placement as _placement  # noqa: F401  (registers itself)
 from hornbeamgw.core import queueing as _queueing  # noqa: F401  (registers itself)
 from hornbeamgw.core.problems import Duration, Problem, Size, check_mapping, read_yaml
@@ -167,13 +168,14 @@
     return host.strip("[]"), int(port)
 
 
-def _is_address(address: str) -> bool:
-    host, port = split_address(address)
+def is_address(address: str) -> bool:
+    """Return whether a text is an IP number and a port."""
     try:
+        host, port = split_address(address)
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return port <= 65_535
+    return 0 <= port <= 65_535
 
 
 def _override(document: Mapping[str, Any], environment: Mapping[str, str]) -> dict[str, Any]:
@@ -209,7 +211,7 @@
     return [
         Problem(source, key, value, expected)
         for key, value in named
-        if value and not _is_address(value)
+        if value and not is_address(value)
     ]
 
 
--- a/hornbeamgw/core/placement.py
+++ b/hornbeamgw/core/placement.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Sequence
 
 from hornbeamgw.core.balancing import Candidate, Choice, Load, register_chooser
 from hornbeamgw.core.membership import Member, Status
@@ -42,6 +41,7 @@
     def __init__(self, aim: float) -> None:
         """Start with a guess by the route's objective (s)."""
         self.service = GUESS_OF_OBJECTIVE * aim
+        self.deviation = self.service / 2
         self.size = 0.0
 
 
@@ -50,6 +50,7 @@
     ratio = min(20.0, max(0.05, service / max(traits.service, 1e-4)))
     load.slowness += ROUTE_WEIGHT * 2 * (ratio - load.slowness)
     normal = service / max(load.slowness, 0.05)
+    traits.deviation += ROUTE_WEIGHT * (abs(normal - traits.service) - traits.deviation)
     traits.service += ROUTE_WEIGHT * (normal - traits.service)
     traits.size += ROUTE_WEIGHT * (size - traits.size)
 
@@ -83,13 +84,19 @@
     return wait + max(0, ahead) * service / slots if ahead > 0 else wait
 
 
+def expected_wait(candidate: Candidate, traits: RouteTraits, now: float) -> float:
+    """Return how long (s) a request is expected to wait for a slot there."""
+    member, load = candidate
+    return _wait(load, max(1, member.slots), traits.service * load.slowness, now)
+
+
 def expected_finish(
     me: Member, candidate: Candidate, traits: RouteTraits, aim: float, now: float
 ) -> float:
     """Return when (s from now) a server is expected to have answered, and what weighs like it."""
     member, load = candidate.member, candidate.load
     service = traits.service * load.slowness
-    finish = _wait(load, max(1, member.slots), service, now) + service
+    finish = expected_wait(candidate, traits, now) + service
     finish += failing(load, now) * aim
     if member.data_centre != me.data_centre:
         finish += OTHER_DATA_CENTRE_S + traits.size * S_PER_BYTE_BETWEEN_DATA_CENTRES
@@ -98,8 +105,10 @@
     return finish
 
 
-def _untried(candidates: Sequence[Candidate], tried: Collection[str]) -> list[Candidate]:
-    return [c for c in candidates if c.member.address not in tried]
+def fit(choice: Choice) -> list[Candidate]:
+    """Return the servers not tried yet, those that were out of reach only if there is no other."""
+    untried = [c for c in choice.candidates if c.member.address not in choice.tried]
+    return [c for c in untried if c.load.ejected_until <= choice.now] or untried
 
 
 class PlacementState:
@@ -122,8 +131,7 @@
 def choose(choice: Choice, rng: random.Random) -> Candidate | None:
     """Return the server that is expected to answer first, none twice while there are others."""
     now = choice.now
-    usable = _untried(choice.candidates, choice.tried)
-    usable = [c for c in usable if c.load.ejected_until <= now] or usable
+    usable = fit(choice)
     if not usable:
         return None
 
--- a/hornbeamgw/core/registration.py
+++ b/hornbeamgw/core/registration.py
@@ -1,8 +1,9 @@
 """Registration: which backend server lives beside this daemon, by the heartbeats it sends.
 
-A heartbeat may arrive late, even after its sender has died and another incarnation took its
-place. Sequence numbers order those of one incarnation; an incarnation that left, began to
-drain, or turned out to be replaced never comes back.
+A heartbeat may arrive late, even after its sender has died and another took its place, also under
+the same name: what tells its runs apart is when each was started. Sequence numbers order the
+heartbeats of one run; a run that left, began to drain, or turned out to be replaced never comes
+back, and neither does one that was started before the run which lives here now.
 """
 
 from __future__ import annotations
@@ -16,7 +17,10 @@
 
 
 class Heartbeat(NamedTuple):
-    """Hold one heartbeat of a backend server; warm-up in seconds."""
+    """Hold one heartbeat of a backend server; warm-up in seconds.
+
+    When its run was started is in Unix milliseconds; 0 where it does not say.
+    """
 
     instance: str
     service: str
@@ -26,12 +30,14 @@
     sequence: int
     warmup: float = 0.0
     software: str = ""
+    started_ms: int = 0
 
 
 class Departure(NamedTuple):
-    """Say that a backend server leaves for good."""
+    """Say that a run of a backend server leaves for good; 0 where it does not say which one."""
 
     instance: str
+    started_ms: int = 0
 
 
 class Announcement(NamedTuple):
@@ -48,6 +54,14 @@
     expires_at: float
     instance: str = ""
     warm_at: float = 0.0
+    started_ms: int = 0
+
+
+def is_same_run(before: Announcement | None, after: Announcement) -> bool:
+    """Return whether two announcements are of one run of one server."""
+    if before is None:
+        return False
+    return (before.instance, before.started_ms) == (after.instance, after.started_ms)
 
 
 def is_renewal(before: Announcement, after: Announcement) -> bool:
@@ -56,11 +70,15 @@
 
 
 class _Known(NamedTuple):
+    started_ms: int
     sequence: int
     is_draining: bool
     is_gone: bool
 
 
+UNKNOWN = _Known(0, -1, False, False)
+
+
 class RegistrationState:
     """Hold the incarnation that is believed to live here, and those heard of before."""
 
@@ -79,25 +97,44 @@
         state.known_by_instance.popitem(last=False)
 
 
+def _last_run(state: RegistrationState, instance: str, started_ms: int) -> _Known:
+    """Return what is known of a run, or of a later one of the same server."""
+    known = state.known_by_instance.get(instance, UNKNOWN)
+    return known if started_ms <= known.started_ms else UNKNOWN._replace(started_ms=started_ms)
+
+
+def _is_late(state: RegistrationState, beat: Heartbeat, known: _Known) -> bool:
+    is_earlier_run = beat.started_ms < known.started_ms
+    if state.current is not None:
+        is_earlier_run |= 0 < beat.started_ms < state.current.started_ms
+    return is_earlier_run or known.is_gone or beat.sequence <= known.sequence
+
+
 def take(state: RegistrationState, beat: Heartbeat, now: float) -> bool:
     """Take a heartbeat and return whether it tells anything new."""
-    known = state.known_by_instance.get(beat.instance, _Known(-1, False, False))
-    if known.is_gone or beat.sequence <= known.sequence:
+    known = _last_run(state, beat.instance, beat.started_ms)
+    if _is_late(state, beat, known):
         return False
     draining = known.is_draining or beat.state is ServerState.DRAINING
     if draining:
         beat = beat._replace(state=ServerState.DRAINING)
-    _remember(state, beat.instance, _Known(beat.sequence, draining, False))
+    _remember(state, beat.instance, _Known(beat.started_ms, beat.sequence, draining, False))
     state.current = beat
     state.heard_at = now
     state.warm_at = now + beat.warmup
     return True
 
 
-def retire(state: RegistrationState, instance: str) -> bool:
-    """Note that an incarnation is gone; return whether it was the one believed to live here."""
-    known = state.known_by_instance.get(instance, _Known(-1, False, False))
-    _remember(state, instance, known._replace(is_gone=True))
+def retire(state: RegistrationState, instance: str, started_ms: int = 0) -> bool:
+    """Note that a run is gone, the last one known unless it says which.
+
+    Return whether it was the one believed to live here.
+    """
+    known = state.known_by_instance.get(instance, UNKNOWN)
+    if 0 < started_ms < known.started_ms:
+        return False
+    ended = _Known(max(started_ms, known.started_ms), known.sequence, known.is_draining, True)
+    _remember(state, instance, ended)
     if state.current is None or state.current.instance != instance:
         return False
     state.current = None
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -36,8 +36,19 @@
 class Announcements:
     """Own what is known of the backend server beside this daemon."""
 
-    def __init__(self, gate: Gate, decode: Decoder, connections: int, ttl: float) -> None:
-        """Take the gate to tell, how announcements are worded, and how long they last (s)."""
+    def __init__(
+        self,
+        gate: Gate,
+        decode: Decoder,
+        connections: int,
+        ttl: float,
+        is_service: Callable[[str], bool] = lambda service: True,
+    ) -> None:
+        """Take the gate to tell, how announcements are worded, and how long they last (s).
+
+        An announcement for a service that the configuration does not name is refused.
+        """
+        self._is_service = is_service
         self.state = RegistrationState()
         self._gate = gate
         self._decode = decode
@@ -51,6 +62,7 @@
         method, path = request.method.decode(), request.target.decode("latin-1")
         try:
             told = self._decode(method, path, body)
+            self._check_service(told)
         except ValueError as error:
             log.warning("announcement refused", extra={"error": str(error)})
             json_response(connection, 400, {"error": f"announcement: {error}"})
@@ -61,6 +73,10 @@
             self._on_heartbeat(told)
         send_response(connection, 200, [], b"")
 
+    def _check_service(self, told: Heartbeat | Departure) -> None:
+        if isinstance(told, Heartbeat) and not self._is_service(told.service):
+            raise ValueError(f"service {told.service!r}, expected one of the configuration")
+
     def _on_heartbeat(self, beat: Heartbeat) -> None:
         now = asyncio.get_running_loop().time()
         if not registration.take(self.state, beat, now):
@@ -77,12 +93,13 @@
             now + self._ttl,
             current.instance,
             self.state.warm_at,
+            current.started_ms,
         )
         self._gate.announce(announcement)
 
     def _on_departure(self, told: Departure) -> None:
         log.info("backend server leaves", extra={"instance": told.instance})
-        if registration.retire(self.state, told.instance):
+        if registration.retire(self.state, told.instance, told.started_ms):
             self._gate.drain("the backend server leaves")
             self._gate.forget_server()
 
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -45,6 +45,7 @@
     out.version = member.version
     out.admin = member.admin
     out.bandwidth = member.bandwidth
+    out.serverStartedMs = member.server_started_ms
 
 
 def _read_member(raw: Any) -> Member:
@@ -61,6 +62,7 @@
         raw.version,
         raw.admin,
         raw.bandwidth,
+        raw.serverStartedMs,
     )
 
 
@@ -72,6 +74,7 @@
 def _write_hello(out: Any, f: frames.Hello) -> None:
     hello = out.init("hello")
     hello.fleet, hello.member, hello.incarnation = f.fleet, f.member, f.incarnation
+    hello.dataCentre = f.data_centre
 
 
 def _write_heartbeat(out: Any, f: frames.Heartbeat) -> None:
@@ -277,7 +280,7 @@
 
 
 _readers_by_kind: dict[str, Callable[[Any], frames.Frame]] = {
-    "hello": lambda h: frames.Hello(h.fleet, h.member, h.incarnation),
+    "hello": lambda h: frames.Hello(h.fleet, h.member, h.incarnation, h.dataCentre),
     "heartbeat": frames.Heartbeat,
     "call": _read_call,
     "body": lambda b: frames.Body(b.attempt, b.data, b.end),
@@ -304,6 +307,11 @@
     message = _schema.Frame.new_message()
     _writers_by_type[type(frame)](message, frame)
     payload: bytes = message.to_bytes()
+    return framed(payload)
+
+
+def framed(payload: bytes) -> bytes:
+    """Return a payload with its length before it."""
     return len(payload).to_bytes(LENGTH_BYTES, "big") + payload
 
 
@@ -317,6 +325,22 @@
         raise CodecError(f"not a frame: {error}") from error
 
 
+def detach_body(frame: frames.Frame) -> tuple[frames.Frame, bytes]:
+    """Return a frame without the body that it carries, and that body."""
+    if isinstance(frame, frames.Call | frames.Reply):
+        return frame._replace(body=b""), frame.body
+    if isinstance(frame, frames.Body):
+        return frame._replace(data=b""), frame.data
+    return frame, b""
+
+
+def attach_body(frame: frames.Frame, body: bytes) -> frames.Frame:
+    """Return a frame with the body that was detached from it."""
+    if isinstance(frame, frames.Call | frames.Reply):
+        return frame._replace(body=body)
+    return frame._replace(data=body) if isinstance(frame, frames.Body) else frame
+
+
 def _write_push(out: Any, push: Push) -> None:
     raw = out.init("push")
     raw.version, raw.scope, raw.low, raw.high = push.version, int(push.scope), push.low, push.high
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -46,7 +46,7 @@
     def __init__(self, settings: Settings, me: Member, rng: random.Random) -> None:
         """Start with a view of oneself and no version."""
         self.settings = settings
-        self.hello = frames.Hello(settings.fleet, me.address, me.incarnation)
+        self.hello = frames.Hello(settings.fleet, me.address, me.incarnation, me.data_centre)
         timing = membership.Timing(
             settings.membership_probe_interval,
             settings.membership_ack_timeout,
--- a/hornbeamgw/daemon/directory.py
+++ b/hornbeamgw/daemon/directory.py
@@ -18,6 +18,7 @@
 from hornbeamgw.backends.rows import RowPage, RowStore, StoredRow
 from hornbeamgw.core import membership
 from hornbeamgw.core.membership import Member, Status
+from hornbeamgw.core.options import is_address
 from hornbeamgw.core.rendezvous import top
 from hornbeamgw.daemon.control import Control
 
@@ -32,6 +33,16 @@
 SWEEP_EVERY_S = 120.0
 SWEEPERS = 1
 
+# What messages between daemons can carry.
+_MOST_BY_FIELD = {
+    "incarnation": (1 << 64) - 1,
+    "sequence": (1 << 32) - 1,
+    "slots": (1 << 16) - 1,
+    "version": (1 << 64) - 1,
+    "bandwidth": (1 << 64) - 1,
+    "server_started_ms": (1 << 64) - 1,
+}
+
 _encode = msgspec.json.encode
 _decoder = msgspec.json.Decoder(Member)
 
@@ -41,12 +52,24 @@
     found = []
     for row in page.rows:
         try:
-            found.append(_decoder.decode(row.value or b""))
-        except msgspec.MsgspecError as error:
+            found.append(_member_of(row))
+        except ValueError as error:
             log.warning("row of a daemon unreadable", extra={"key": row.key, "error": str(error)})
     return found
 
 
+def _member_of(row: StoredRow) -> Member:
+    """Return the member in a row; raise ValueError where another writer put something else."""
+    member = _decoder.decode(row.value or b"")
+    if member.address != row.key or not is_address(member.address):
+        raise ValueError(f"address {member.address!r}, expected the row's key, as 10.0.0.7:7400")
+    for name, most in _MOST_BY_FIELD.items():
+        value = getattr(member, name)
+        if not 0 <= value <= most:
+            raise ValueError(f"{name} {value!r}, expected 0 to {most}")
+    return member
+
+
 def ended_rows(page: RowPage, members_by_address: dict[str, Member]) -> list[StoredRow]:
     """Return the rows of daemons that are believed to have ended."""
     ended = []
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -19,6 +19,7 @@
     fleet: str
     member: str
     incarnation: int
+    data_centre: str = ""
 
 
 class Heartbeat(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -15,7 +15,7 @@
 from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
 from hornbeamgw.core.dialect import HORNBEAMGW, Dialect
 from hornbeamgw.core.membership import ServerState
-from hornbeamgw.core.registration import Announcement, is_renewal
+from hornbeamgw.core.registration import Announcement, is_renewal, is_same_run
 from hornbeamgw.core.snapshot import Limits, Snapshot
 from hornbeamgw.core.transfers import TransferState
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
@@ -76,8 +76,11 @@
     def announce(self, announcement: Announcement) -> None:
         """Take or renew what the backend server says of itself."""
         before = self.announcement
-        same = before is None or before.instance == announcement.instance
-        draining = self._stopping or (same and self.state.server_state is ServerState.DRAINING)
+        is_same = before is None or is_same_run(before, announcement)
+        if before is not None and not is_same:
+            is_later = 0 < before.started_ms < announcement.started_ms
+            self._forget_run(f"{announcement.instance} was started", is_later)
+        draining = self._stopping or (is_same and self.state.server_state is ServerState.DRAINING)
         if draining and announcement.state is not ServerState.DRAINING:
             announcement = announcement._replace(state=ServerState.DRAINING)
         self.announcement = announcement
@@ -92,6 +95,18 @@
             log.info("backend server announced", extra={"announcement": announcement._asdict()})
             self._on_server_change()
 
+    def _forget_run(self, why: str, is_over: bool) -> None:
+        """Drop what was learned of a run; where it is surely over, end what ran there."""
+        log.info("another run of the backend server", extra={"why": why, "is_over": is_over})
+        self.pool.close_idle()
+        admission.forget_run(self.state)
+        if not is_over:
+            return
+        for attempt in list(self._attempts.values()):
+            if attempt.task is not None and not attempt.task.done():
+                attempt.ended_by = may_have_run(Reason.BACKEND_BROKE, why)
+                stop(attempt)
+
     def expire(self, now: float) -> None:
         """Forget a server that no longer renews what it announced, and drop late requests."""
         if self.announcement is not None and now >= self.announcement.expires_at:
@@ -297,7 +312,8 @@
     ) -> None:
         """Free the slot; here, since a task cancelled before its first step runs nothing."""
         if task.cancelled():
-            failure: Failure | None = may_have_run(Reason.CALLER_GONE, "cancelled while it ran")
+            gone = may_have_run(Reason.CALLER_GONE, "cancelled while it ran")
+            failure: Failure | None = attempt.ended_by or gone
         else:
             failure = task.result()
         now = asyncio.get_running_loop().time()
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import h11
@@ -114,7 +115,7 @@
         self.admin = HttpServer(admin.on_request, timeouts)
         self.metrics = HttpServer(admin.on_request, timeouts)
         self.ready = HttpServer(self._on_ready_request, timeouts)
-        self.announcements = _announcements(settings, self.gate, timeouts)
+        self.announcements = _announcements(settings, self.gate, timeouts, self._is_service)
         self._stop_signals = 0
         self._stop = asyncio.Event()
         self._cut = asyncio.Event()
@@ -122,6 +123,12 @@
     def _snapshot(self) -> Snapshot:
         return self.control.versions.snapshot
 
+    def _is_service(self, name: str) -> bool:
+        """Return whether a service may exist: any may, before the first version."""
+        snapshot = self._snapshot()
+        is_own = name == self.settings.server_service
+        return is_own or not snapshot.version or name in snapshot.services
+
     def _view(self) -> View:
         view = self.control.view
         return View(
@@ -138,7 +145,10 @@
             self.control.update_me(service="", server_state=ServerState.NONE, slots=0)
             return
         self.control.update_me(
-            service=announced.service, server_state=announced.state, slots=announced.slots
+            service=announced.service,
+            server_state=announced.state,
+            slots=announced.slots,
+            server_started_ms=announced.started_ms,
         )
 
     async def start(self) -> dict[str, str]:
@@ -269,11 +279,19 @@
     return Committer(control, reader, platform, rng)
 
 
-def _announcements(settings: Settings, gate: Gate, timeouts: Timeouts) -> HttpServer | None:
+def _announcements(
+    settings: Settings, gate: Gate, timeouts: Timeouts, is_service: Callable[[str], bool]
+) -> HttpServer | None:
     if not settings.announcements:
         return None
     decode = decoders_by_name[settings.calls_dialect]
-    taker = Announcements(gate, decode, settings.server_connections, settings.server_announce_ttl)
+    taker = Announcements(
+        gate,
+        decode,
+        settings.server_connections,
+        settings.server_announce_ttl,
+        is_service,
+    )
     return HttpServer(taker.on_request, timeouts)
 
 
--- a/hornbeamgw/daemon/servers.py
+++ b/hornbeamgw/daemon/servers.py
@@ -27,7 +27,7 @@
         self._choose = choose
         self._rng = rng
         self._placement = PlacementState()
-        self._loads_by_address: dict[str, Load] = {}
+        self._loads_by_run: dict[tuple[str, int], Load] = {}
         self._serving_at = -1
         self._serving_by_service: dict[str, list[Member]] = {}
 
@@ -48,16 +48,19 @@
         if members is None:
             members = balancing.serving(view.members, service)
             self._serving_by_service[service] = members
-        loads = self._loads_by_address
-        return [Candidate(m, loads.get(m.address) or self._load(m, now)) for m in members]
+        return [Candidate(m, self._load(m, now)) for m in members]
 
     def _load(self, member: Member, now: float) -> Load:
-        return self._loads_by_address.setdefault(member.address, Load(now))
+        run = (member.address, member.server_started_ms)
+        load = self._loads_by_run.get(run)
+        if load is None:
+            load = self._loads_by_run[run] = Load(now)
+        return load
 
     def _choice(self, call: Call, view: View, now: float) -> Choice:
         candidates = self._candidates(view, call.service, now)
         traits = self.traits_of(call)
-        return Choice(view.me, candidates, call.tried, traits, call.aim, now)
+        return Choice(view.me, candidates, call.tried, traits, call.aim, now, call.objective)
 
     async def choose(self, call: Call, view: View) -> Candidate | None:
         """Return where to send a call: by what was heard of all servers, or by asking some."""
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -29,6 +29,7 @@
   fleet @0 :Text;
   member @1 :Text;
   incarnation @2 :UInt64;
+  dataCentre @3 :Text;
 }
 
 struct Call {
@@ -138,6 +139,7 @@
   version @9 :UInt64;
   admin @10 :Text;
   bandwidth @11 :UInt64;
+  serverStartedMs @12 :UInt64;
 }
 
 struct Datagram {
