Compress what repeats between data centres

Cause: heads of 300 to 400 bytes went with each call and answer that crossed, and with each refusal. Change: on a link between data centres each direction is one deflate stream; bodies stay outside it. A head of 320 bytes takes 60 to 70 (measured, 20 to 40 us). A peer that names no data centre is spoken to plainly. Ruled out: bodies inside the stream (350 us for 4 KB, and they push the heads out of the window).

--- /dev/null
+++ b/hornbeamgw/daemon/compression.py
@@ -0,0 +1,54 @@
+"""Compression: shrinks what repeats from frame to frame on a link between data centres.
+
+The heads of calls and answers there are 300 to 400 bytes, and all but ids repeats: 60 to 70 are
+left. Each direction of a link is one stream, so that a frame refers to those before it. Bodies stay
+out of it: the users' answers don't compress, and would push the heads out of the window.
+"""
+
+from __future__ import annotations
+
+import zlib
+
+# A window of 8 KB spans some twenty heads; 24 KB for a sender and 8 KB for a receiver, on each of
+# up to some hundred links of a daemon.
+WINDOW_BITS = -13
+MEMORY_LEVEL = 5
+LEVEL = 1
+LENGTH_BYTES = 4
+# Ends each flush of a stream, and is left out.
+FLUSH_END = b"\x00\x00\xff\xff"
+
+
+class Compressor:
+    """Own one direction of a link, at its sender."""
+
+    def __init__(self) -> None:
+        """Start without anything to refer to."""
+        self._stream = zlib.compressobj(LEVEL, zlib.DEFLATED, WINDOW_BITS, MEMORY_LEVEL)
+
+    def shrink(self, payload: bytes) -> bytes:
+        """Return a payload as the other end of the stream reads it, with its length before it."""
+        data = self._stream.compress(payload) + self._stream.flush(zlib.Z_SYNC_FLUSH)
+        data = data.removesuffix(FLUSH_END)
+        return len(data).to_bytes(LENGTH_BYTES, "big") + data
+
+
+class Decompressor:
+    """Own one direction of a link, at its receiver."""
+
+    def __init__(self) -> None:
+        """Start without anything to refer to."""
+        self._stream = zlib.decompressobj(WINDOW_BITS)
+
+    def restore(self, data: bytes, most: int) -> tuple[bytes, bytes]:
+        """Return a payload of this many bytes at most, and what follows it; raise ValueError."""
+        end = LENGTH_BYTES + int.from_bytes(data[:LENGTH_BYTES], "big")
+        if not LENGTH_BYTES < end <= len(data):
+            raise ValueError(f"a payload that ends at byte {end} of {len(data)}")
+        try:
+            payload = self._stream.decompress(data[LENGTH_BYTES:end] + FLUSH_END, most)
+        except zlib.error as error:
+            raise ValueError(f"not compressed as expected: {error}") from error
+        if self._stream.unconsumed_tail:
+            raise ValueError(f"a payload of more than {most} bytes")
+        return payload, data[end:]
--- a/hornbeamgw/daemon/link.py
+++ b/hornbeamgw/daemon/link.py
@@ -8,6 +8,7 @@
 
 from hornbeamgw.core.options import split_address
 from hornbeamgw.daemon import codec, frames
+from hornbeamgw.daemon.compression import Compressor, Decompressor
 
 # An answer to a heartbeat takes 3 ms between data centres; a lost packet is sent again after
 # 0.2 s, so that silence of half a second is more than one loss.
@@ -20,6 +21,12 @@
     """Say that a link broke or never opened."""
 
 
+def _is_between_data_centres(one: frames.Hello, other: frames.Hello) -> bool:
+    """Return whether two daemons name different data centres; one may name none."""
+    named = one.data_centre and other.data_centre
+    return bool(named) and one.data_centre != other.data_centre
+
+
 class Link(asyncio.Protocol):
     """Hold one connection, hand over its frames in order, and notice silence."""
 
@@ -43,6 +50,9 @@
         self._on_lost = on_lost
         self._on_fault = on_fault
         self._buffer = bytearray()
+        # Nothing but one's own hello is sent before the other side's is known.
+        self._compressor: Compressor | None = None
+        self._decompressor: Decompressor | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport and say hello."""
@@ -52,13 +62,25 @@
 
     def send(self, frame: frames.Frame) -> None:
         """Write a frame; one to a lost link is dropped."""
-        if self.transport is not None and not self.lost:
-            self.send_encoded(codec.encode_frame(frame))
+        if self.transport is None or self.lost:
+            return
+        if self._compressor is None:
+            self._write(codec.encode_frame(frame))
+            return
+        bare, body = codec.detach_body(frame)
+        payload = codec.encode_frame(bare)[codec.LENGTH_BYTES :]
+        self._write(codec.framed(self._compressor.shrink(payload) + body))
 
     def send_encoded(self, payload: bytes) -> None:
         """Write a frame that goes to several links; one to a lost link is dropped."""
         if self.transport is None or self.lost:
             return
+        if self._compressor is not None:
+            payload = codec.framed(self._compressor.shrink(payload[codec.LENGTH_BYTES :]))
+        self._write(payload)
+
+    def _write(self, payload: bytes) -> None:
+        assert self.transport is not None
         self.bytes_out += len(payload)
         self.transport.write(payload)
 
@@ -85,9 +107,19 @@
             if len(buffer) - head < size:
                 break
             start = head + size
-            self._take(codec.decode_frame(bytes(buffer[head:start])))
+            self._take_payload(bytes(buffer[head:start]))
         del buffer[:start]
 
+    def _take_payload(self, payload: bytes) -> None:
+        if self._decompressor is None:
+            self._take(codec.decode_frame(payload))
+            return
+        try:
+            head, body = self._decompressor.restore(payload, codec.MAX_FRAME)
+        except ValueError as error:
+            raise codec.CodecError(str(error)) from error
+        self._take(codec.attach_body(codec.decode_frame(head), body))
+
     def _take(self, frame: frames.Frame) -> None:
         if self.peer is None:
             self._take_hello(frame)
@@ -103,6 +135,8 @@
         if frame.fleet != self.hello.fleet:
             raise codec.CodecError(f"a hello of fleet {frame.fleet!r}")
         self.peer = frame
+        if _is_between_data_centres(self.hello, frame):
+            self._compressor, self._decompressor = Compressor(), Decompressor()
         if not self.peer_known.done():
             self.peer_known.set_result(frame)
 
