Look for daemons that were stopped, so that they come back while the store is away

Change: members that ended in the last 30 s are probed by the fleet four times a second in all; the first that speaks to a returned daemon gives it the view, and with it peers that hold the version. Two scenarios in outside.feature fail without it (more than 4 s) and pass with it.

--- a/features/outside.feature
+++ b/features/outside.feature
@@ -34,6 +34,16 @@
       | reset  |
       | silent |
 
+  Scenario Outline: A daemon that was stopped comes back while the store is away
+    Given the store answers with "<fault>"
+    When one of them is stopped and restarts at the same address
+    Then all of them have version 3 in force within 4 seconds
+
+    Examples:
+      | fault  |
+      | outage |
+      | silent |
+
   Scenario: The row comes slowly, in all longer than the time limit
     Given the store answers with "trickle"
     When one of them restarts as a new process at the same address
--- a/features/steps/outside.py
+++ b/features/steps/outside.py
@@ -195,6 +195,17 @@
     context.runner.run(restart(context, context.living[0]))
 
 
+@when("one of them is stopped and restarts at the same address")
+def one_stops(context):
+    async def stop():
+        daemon = context.living[0]
+        daemon.control.leave()
+        await asyncio.sleep(0.1)
+        await restart(context, daemon)
+
+    context.runner.run(stop())
+
+
 @when("all of them restart as new processes")
 def all_restart(context):
     async def herd():
--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -97,6 +97,11 @@
 GOSSIP_PER_MESSAGE = 10
 GOSSIP_FACTOR = 2
 RETRY_DEAD_ONE_IN = 10
+# A daemon that starts again while the platform's store is away knows nobody; it joins by the first
+# that speaks to it. The fleet as a whole probes a member that ended this often for this long (s): a
+# restart takes 1 to 4 s.
+RETURN_PROBES_PER_S = 4.0
+RETURN_EXPECTED_S = 30.0
 MISMATCHES_TO_RECONCILE = 6
 MISMATCH_WEIGHT_WHEN_QUIET = 2
 RECONCILE_SPACING_S = 2.0
@@ -319,11 +324,20 @@
             state.gossip_left_by_address.pop(address, None)
 
 
+def _look_for_returned(state: MembershipState, now: float, rng: random.Random) -> list[Outgoing]:
+    """Return probes of members that ended of late; nothing follows where they stay silent."""
+    share = RETURN_PROBES_PER_S * state.timing.probe_interval / len(reachable(state))
+    ended = [a for a, at in state.ended_at_by_address.items() if now - at < RETURN_EXPECTED_S]
+    chosen = [address for address in ended if rng.random() < share]
+    return [Outgoing(address, Probe(_nonce(state))) for address in chosen]
+
+
 def tick(state: MembershipState, now: float, rng: random.Random) -> list[Outgoing]:
-    """Probe the next member; call once a probe interval."""
+    """Probe the next member, and look for some that may be back; call once a probe interval."""
     _end_suspicions(state, now)
     target = _next_target(state, rng)
-    return [] if target is None else [_probe(state, target, now)]
+    probes = [] if target is None else [_probe(state, target, now)]
+    return probes + _look_for_returned(state, now, rng)
 
 
 def check(state: MembershipState, now: float, rng: random.Random) -> list[Outgoing]:
