Say what crosses between data centres and why

Counters of bytes by what moved them (heads and bodies of calls, answers and the rest) at the metrics address, why each attempt left its data centre in the line of its call, and a counter of that.

--- a/features/compression.feature
+++ b/features/compression.feature
@@ -24,3 +24,5 @@
     When 30 lookups and a body of 60000 bytes go from one to the other
     Then all are answered whole
     And an answered lookup takes at most 300 bytes on the link, both ways together
+    And both daemons count by what moved them the bytes that crossed
+    And the line of each call tells why it left its data centre
--- a/features/sampling.feature
+++ b/features/sampling.feature
@@ -19,6 +19,17 @@
     Then all servers asked first are of the own data centre, and that one is among them
     And those asked next are of other data centres
 
+  Scenario Outline: Other data centres are asked only where an idle server there would be better
+    Given 36 servers with 2 slots of speeds 0.5, 1 and 1.5, and lookups at 0.8 of what they can do
+    When the best one found near has a wait of <wait> ms, and answers are <size> bytes large
+    Then leaving the data centre is <worth>
+
+    Examples:
+      | wait | size  | worth     |
+      | 30   | 1500  | not worth |
+      | 120  | 20000 | not worth |
+      | 420  | 1500  | worth     |
+
   Scenario: What a gate says beforehand is what it does
     Given a server with 2 slots that are taken for 100 ms more
     Then a lookup that can wait is told it would be taken, and is
--- a/features/steps/compression.py
+++ b/features/steps/compression.py
@@ -108,9 +108,11 @@
             await wait_for(lambda d=daemon: d.control.versions.snapshot.version)
         await wait_for(lambda: any(m.service for m in _members(context.near)))
         context.client = HttpClient(context.fleet.callers(context.near), 5.0)
+        context.metrics = HttpClient(context.fleet.admin(context.near), 5.0)
 
     async def close():
         context.client.close()
+        context.metrics.close()
         await context.fleet.close()
 
     context.closers.append(close)
@@ -150,3 +152,17 @@
 @then("an answered lookup takes at most {most:d} bytes on the link, both ways together")
 def small(context, most):
     assert context.bytes_each <= most, context.bytes_each
+
+
+@then("both daemons count by what moved them the bytes that crossed")
+def counted(context):
+    near, far = (d.control.meter.crossed for d in (context.near, context.far))
+    assert near["call.head"] > 0 and near["call.body"] >= context.size, near
+    assert far["reply.head"] > 0, far
+    lines = context.runner.run(context.metrics.request("GET", "/metrics")).body.decode()
+    assert 'hornbeamgw_bytes_between_data_centres_total{what="call.body"}' in lines, lines
+
+
+@then("the line of each call tells why it left its data centre")
+def told_why(context):
+    assert context.near.calls.counts["far.none_near"] >= 30, context.near.calls.counts
--- a/features/steps/sampling.py
+++ b/features/steps/sampling.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from hornbeamgw.core import admission, sampling, service_times
+from hornbeamgw.core import admission, crossing, placement, sampling, service_times
 from hornbeamgw.core.admission import AttemptId, Queued, Refused, Request
 from hornbeamgw.core.balancing import Candidate, Choice, Load
 from hornbeamgw.core.membership import Member
@@ -88,6 +88,19 @@
     assert "dc-0" not in {c.member.data_centre for c in asked}
 
 
+@when("the best one found near has a wait of {wait:d} ms, and answers are {size:d} bytes large")
+def near_found(context, wait, size):
+    context.found = context.choice.candidates[0]
+    placement.note_report(context.found.load, 0, wait / 1000, NOW)
+    context.choice.traits.size = size
+
+
+@then("leaving the data centre is {worth}")
+def leaving(context, worth):
+    is_worth = crossing.is_worth_leaving(context.choice, context.found)
+    assert is_worth is (worth == "worth"), crossing.loss(context.choice, context.found)
+
+
 def request(number, aim):
     attempt = AttemptId("a", 1, number)
     return Request(attempt, "all", WIDE, NOW + 1.0, "lookup", NOW + aim, aim, 1, arrived=NOW)
@@ -97,7 +110,7 @@
 def taken(context, slots, ms):
     context.state = simulated.new_server("objective", slots)
     for number in range(slots):
-        service_times.note(context.state.times, "lookup", ms / 1000)
+        service_times.note(context.state.times, "lookup", ms / 1000, ms / 1000)
         admission.admit(context.state, request(number, 1.0), simulated.SERVICE, NOW)
 
 
@@ -126,7 +139,7 @@
 
 @given("{count:d} reports of {ms:d} ms that wait there")
 def reports_wait(context, count, ms):
-    service_times.note(context.state.times, "report", ms / 1000)
+    service_times.note(context.state.times, "report", ms / 1000, ms / 1000)
     for number in range(count):
         report = request(100 + number, 2.0)._replace(route="report", deadline=NOW + 5.0)
         assert isinstance(admission.admit(context.state, report, simulated.SERVICE, NOW), Queued)
@@ -134,7 +147,7 @@
 
 @then("a check of {ms:d} ms is told a wait of about {wait:d} ms")
 def check_wait(context, ms, wait):
-    service_times.note(context.state.times, "check", ms / 1000)
+    service_times.note(context.state.times, "check", ms / 1000, ms / 1000)
     check = request(200, 1.0)._replace(route="check")
     told = admission.outlook(context.state, check, simulated.SERVICE, NOW)
     assert told.takes and abs(told.wait - wait / 1000) < 0.02, told
--- a/hornbeamgw/core/crossing.py
+++ b/hornbeamgw/core/crossing.py
@@ -8,12 +8,13 @@
 
 from __future__ import annotations
 
+import enum
 import math
 import random
 
 from hornbeamgw.core import placement
 from hornbeamgw.core.balancing import Candidate, Choice, register_chooser
-from hornbeamgw.core.membership import Status
+from hornbeamgw.core.membership import Member, Status
 from hornbeamgw.core.placement import RouteTraits
 
 # The log of service times is taken for normal; for that the mean deviation, as a part of the mean,
@@ -29,6 +30,9 @@
 # much as this part of an answer.
 FINISH_WEIGHT = 0.1
 TIE = 0.002
+# A body from this size on crosses only after the daemon there has said that it would take the call:
+# asking takes 110 bytes both ways, and of calls that crossed two in five were refused.
+ASK_FROM_BYTES = 512
 
 
 def chance_late(traits: RouteTraits, slowness: float, wait: float, left: float) -> float:
@@ -63,6 +67,41 @@
     return lost + toll(choice.traits.size) if is_far else lost
 
 
+def is_worth_leaving(choice: Choice, near: Candidate | None) -> bool:
+    """Return whether an idle server elsewhere would be better than the best one found near."""
+    if near is None:
+        return True
+    traits, wait = choice.traits, placement.OTHER_DATA_CENTRE_S
+    late = chance_late(traits, 1.0, wait, choice.left)
+    elsewhere = late * (1 - LATE_WORTH) + toll(traits.size)
+    elsewhere += FINISH_WEIGHT * (wait + traits.service) / choice.aim
+    return loss(choice, near) > elsewhere
+
+
+class Why(enum.StrEnum):
+    """Say why a call leaves its data centre."""
+
+    NONE_NEAR = "none near"
+    NEAR_REFUSED = "near refused"
+    NEAR_LATE = "near late"
+
+
+def why_far(choice: Choice, chosen: Candidate) -> Why | None:
+    """Return why a call goes to another data centre, or None where it does not."""
+    own = choice.me.data_centre
+    if chosen.member.data_centre == own:
+        return None
+    near = [c.member.address for c in choice.candidates if c.member.data_centre == own]
+    if not near:
+        return Why.NONE_NEAR
+    return Why.NEAR_REFUSED if set(near) <= set(choice.tried) else Why.NEAR_LATE
+
+
+def is_worth_asking(me: Member, chosen: Candidate, body_size: int) -> bool:
+    """Return whether to ask a daemon before a body of some bytes is sent to it."""
+    return chosen.member.data_centre != me.data_centre and body_size >= ASK_FROM_BYTES
+
+
 @register_chooser("in_time")
 def choose(choice: Choice, rng: random.Random) -> Candidate | None:
     """Return the server where least is expected to be lost, or None if crossing isn't worth it."""
--- a/hornbeamgw/core/sampling.py
+++ b/hornbeamgw/core/sampling.py
@@ -13,7 +13,7 @@
 import random
 from collections.abc import Sequence
 
-from hornbeamgw.core import placement
+from hornbeamgw.core import crossing, placement
 from hornbeamgw.core.balancing import Candidate, Choice
 from hornbeamgw.core.membership import Status
 
@@ -24,11 +24,11 @@
 # processor time than a day has (525 s).
 ASKED_BY_SPEED = 1
 ASKED_AT_RANDOM = 2
-# The servers of one's own data centre are asked, then others; more rounds cost the heaviest days
+# Some servers of one's own data centre are asked, then others, or more of one's own where leaving
+# it would not pay; more rounds cost the heaviest days
 # more processor time than they have (525 s in all, vwb-suva-grown scale-1).
 ROUNDS = 2
-# A wait up to this part of the objective is as good as none; beyond it, other data centres are
-# asked as well.
+# A wait up to this part of the objective is as good as none; beyond it, more servers are asked.
 GOOD_WAIT_PART = 0.1
 
 
@@ -72,11 +72,5 @@
 
 
 def best(choice: Choice, takers: Sequence[Candidate]) -> Candidate | None:
-    """Return the server that is expected to answer first among those that would take it."""
-
-    def finish(candidate: Candidate) -> float:
-        return placement.expected_finish(
-            choice.me, candidate, choice.traits, choice.aim, choice.now
-        )
-
-    return min(takers, key=finish, default=None)
+    """Return the server where least is expected to be lost among those that would take it."""
+    return min(takers, key=lambda taker: crossing.loss(choice, taker), default=None)
--- a/hornbeamgw/daemon/admin.py
+++ b/hornbeamgw/daemon/admin.py
@@ -107,6 +107,7 @@
             *exposition.counters("platform", reads),
             *exposition.counters("control_bytes_in", meter.bytes_in),
             *exposition.counters("control_bytes_out", meter.bytes_out),
+            *exposition.counters("bytes_between_data_centres", meter.crossed),
             *exposition.counters("faults", meter.faults),
             *exposition.counters("invariant_violations", invariants.violations),
             exposition.gauge("version_in_force", state.snapshot.version),
--- a/hornbeamgw/daemon/attempts.py
+++ b/hornbeamgw/daemon/attempts.py
@@ -63,8 +63,14 @@
 class Links:
     """Own the links to other daemons and match their frames with attempts."""
 
-    def __init__(self, hello: Callable[[], frames.Hello], on_fault: Callable[[str], None]) -> None:
-        """Take one's own hello and what to call for a fault of a link."""
+    def __init__(
+        self,
+        hello: Callable[[], frames.Hello],
+        on_fault: Callable[[str], None],
+        crossed: Counter[str] | None = None,
+    ) -> None:
+        """Take one's own hello, what to call for a fault, and where to count bytes that cross."""
+        self._crossed = Counter() if crossed is None else crossed
         self.counts: Counter[str] = Counter()
         self.outlooks = Outlooks()
         self._hello = hello
@@ -105,7 +111,9 @@
     def _dialled(self, address: str, task: asyncio.Task[Link]) -> None:
         self._dialling_by_address.pop(address, None)
         if not task.cancelled() and task.exception() is None:
-            self._links_by_address[address] = task.result()
+            link = task.result()
+            link.crossed = self._crossed
+            self._links_by_address[address] = link
 
     def start(self, link: Link, load: Load, now: float, idempotent: bool = False) -> Attempt:
         """Return a new attempt on a link."""
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -12,6 +12,7 @@
 
 from hornbeamgw.core import placement, sampling
 from hornbeamgw.core.balancing import Candidate
+from hornbeamgw.core.crossing import Why
 from hornbeamgw.core.dialect import Dialect
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.snapshot import Route, Snapshot
@@ -49,15 +50,16 @@
     wait_ms: int
     report_age_ms: int
     failing: float
+    why_far: str | None
 
 
-def placed_at(chosen: Candidate, now: float) -> Placed:
-    """Return where an attempt goes and by which report."""
+def placed_at(chosen: Candidate, why_far: Why | None, now: float) -> Placed:
+    """Return where an attempt goes, by which report, and why to another data centre."""
     load = chosen.load
     age_ms = round((now - load.reported_at) * 1000)
     failing = round(placement.failing(load, now), 2)
     wait_ms = round(load.wait * 1000)
-    return Placed(chosen.member.address, load.free_slots, wait_ms, age_ms, failing)
+    return Placed(chosen.member.address, load.free_slots, wait_ms, age_ms, failing, why_far)
 
 
 class Call:
@@ -83,6 +85,7 @@
         self.asked = 0
         self.rounds_left = sampling.ROUNDS
         self.takers: list[Candidate] = []
+        self.why_far: Why | None = None
         self.retry_after_ms = 0
         self.arrivals = 0
         self.refusals = 0
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -274,7 +274,9 @@
         loop = asyncio.get_running_loop()
         address = chosen.member.address
         call.tried.append(address)
-        call.placed.append(placed_at(chosen, loop.time()))
+        if call.why_far is not None:
+            self.counts[f"far.{call.why_far.name.lower()}"] += 1
+        call.placed.append(placed_at(chosen, call.why_far, loop.time()))
         try:
             link = await self._links.link_to(address)
         except LinkLost as error:
--- a/hornbeamgw/daemon/link.py
+++ b/hornbeamgw/daemon/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple, cast
 
@@ -50,6 +51,7 @@
         self._on_lost = on_lost
         self._on_fault = on_fault
         self._buffer = bytearray()
+        self.crossed: Counter[str] = Counter()
         # Nothing but one's own hello is sent before the other side's is known.
         self._compressor: Compressor | None = None
         self._decompressor: Decompressor | None = None
@@ -68,8 +70,11 @@
             self._write(codec.encode_frame(frame))
             return
         bare, body = codec.detach_body(frame)
-        payload = codec.encode_frame(bare)[codec.LENGTH_BYTES :]
-        self._write(codec.framed(self._compressor.shrink(payload) + body))
+        head = self._compressor.shrink(codec.encode_frame(bare)[codec.LENGTH_BYTES :])
+        kind = type(frame).__name__.lower()
+        self.crossed[f"{kind}.head"] += codec.LENGTH_BYTES + len(head)
+        self.crossed[f"{kind}.body"] += len(body)
+        self._write(codec.framed(head + body))
 
     def send_encoded(self, payload: bytes) -> None:
         """Write a frame that goes to several links; one to a lost link is dropped."""
@@ -77,6 +82,7 @@
             return
         if self._compressor is not None:
             payload = codec.framed(self._compressor.shrink(payload[codec.LENGTH_BYTES :]))
+            self.crossed["question.head"] += len(payload)
         self._write(payload)
 
     def _write(self, payload: bytes) -> None:
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -93,7 +93,8 @@
         self.gate = Gate(
             self._snapshot, self._on_server_change, dialect, settings.calls_queueing, pacer
         )
-        self.links = Links(lambda: self.control.hello, self.control.fault)
+        crossed = self.control.meter.crossed
+        self.links = Links(lambda: self.control.hello, self.control.fault, crossed)
         choose = balancing.chooser_of(settings.calls_balancing)
         servers = Servers(self.links, choose, rng)
         replay_limit = round(settings.calls_replay_limit)
--- a/hornbeamgw/daemon/meter.py
+++ b/hornbeamgw/daemon/meter.py
@@ -15,6 +15,7 @@
         self.messages_in: Counter[str] = Counter()
         self.messages_out: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
+        self.crossed: Counter[str] = Counter()
 
     def sent(self, kind: str, size: int) -> None:
         """Count a message sent (bytes)."""
--- a/hornbeamgw/daemon/peers.py
+++ b/hornbeamgw/daemon/peers.py
@@ -31,6 +31,7 @@
 
     def _accept(self) -> Link:
         link = Link(self._control.hello, self._on_frame, self._on_lost, self._control.fault)
+        link.crossed = self._control.meter.crossed
         self.links.add(link)
         return link
 
--- a/hornbeamgw/daemon/servers.py
+++ b/hornbeamgw/daemon/servers.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Sequence
 
-from hornbeamgw.core import balancing, placement, sampling
+from hornbeamgw.core import balancing, crossing, placement, sampling
 from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.placement import PlacementState, RouteTraits
@@ -16,6 +16,8 @@
 from hornbeamgw.daemon.outlooks import Told
 
 NOTHING_TOLD = Told((), (), 0)
+# As many as a call may be refused by (calls.MAX_REFUSALS); each takes a round trip.
+ASKED_ONE_BY_ONE = 3
 
 
 class Servers:
@@ -65,13 +67,20 @@
     async def choose(self, call: Call, view: View) -> Candidate | None:
         """Return where to send a call: by what was heard of all servers, or by asking some."""
         choice = self._choice(call, view, asyncio.get_running_loop().time())
+        chosen = await self._choose_by(choice, call)
+        call.why_far = None if chosen is None else crossing.why_far(choice, chosen)
+        return chosen
+
+    async def _choose_by(self, choice: Choice, call: Call) -> Candidate | None:
         if not sampling.worth_asking(choice):
-            return self._choose(choice, self._rng)
+            return await self._choose_by_reports(call, choice)
         found = self._best_taker(call, choice)
         while call.rounds_left and not (found and sampling.is_good(found.load.wait, call.aim)):
-            is_near = call.rounds_left == sampling.ROUNDS
+            is_first = call.rounds_left == sampling.ROUNDS
+            is_near = is_first or not crossing.is_worth_leaving(choice, found)
             call.rounds_left -= 1
-            told = await self._ask(call, sampling.sample(choice, is_near, self._rng))
+            asked = sampling.sample(choice, is_near, self._rng)
+            told = await self._ask(call, [c for c in asked if c not in call.takers])
             call.takers += told.takers
             call.tried += [c.member.address for c in told.refusers]
             call.retry_after_ms = sooner(call.retry_after_ms, told.retry_after_ms)
@@ -81,6 +90,22 @@
             return self._choose(choice, self._rng)
         return found
 
+    async def _choose_by_reports(self, call: Call, choice: Choice) -> Candidate | None:
+        """Return the server chosen by what was heard before; a large body is announced first."""
+        for _ in range(ASKED_ONE_BY_ONE):
+            chosen = self._choose(choice, self._rng)
+            if chosen is None:
+                return None
+            if not crossing.is_worth_asking(choice.me, chosen, len(call.body)):
+                return chosen
+            told = await self._ask(call, [chosen])
+            if not told.refusers:
+                return chosen
+            call.tried.append(chosen.member.address)
+            call.retry_after_ms = sooner(call.retry_after_ms, told.retry_after_ms)
+            choice = choice._replace(now=asyncio.get_running_loop().time())
+        return None
+
     def _best_taker(self, call: Call, choice: Choice) -> Candidate | None:
         takers = [c for c in call.takers if c.member.address not in call.tried]
         return sampling.best(choice, takers)
