--- a/features/spreading.feature
+++ b/features/spreading.feature
@@ -41,3 +41,8 @@
     Given 20 members of a data centre, 2 of them with a link of 50 Mbit/s and the rest of 3
     Then those 2 are its readers
     And while links are not known 2 members are its readers
+
+  Scenario: Where all read a version by themselves, two push it to those who can't, by turns
+    Given 10 members that all watch the operators' row
+    Then each of 60 versions is pushed by 2 of them
+    And none of them pushes more than a third of the versions
--- a/features/steps/spreading.py
+++ b/features/steps/spreading.py
@@ -202,3 +202,23 @@
     assert all(m.status is Status.ALIVE for m in view.members_by_address.values()), Counter(
         m.status for m in view.members_by_address.values()
     )
+
+
+@given("{count:d} members that all watch the operators' row")
+def watchers(context, count):
+    context.members = [Member(f"10.0.0.{i}:7400", f"dc-{i % 4}", "r", 1) for i in range(count)]
+
+
+@then("each of {versions:d} versions is pushed by {count:d} of them")
+def pushed_by(context, versions, count):
+    context.pushers = [
+        [m.address for m in context.members if rendezvous.is_pusher(m, context.members, version)]
+        for version in range(versions)
+    ]
+    assert {len(pushers) for pushers in context.pushers} == {count}
+
+
+@then("none of them pushes more than a third of the versions")
+def by_turns(context):
+    counts = Counter(address for pushers in context.pushers for address in pushers)
+    assert max(counts.values()) <= len(context.pushers) / 3, counts
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -11,7 +11,7 @@
 from hornbeamgw.core import floor, membership, versions
 from hornbeamgw.core.floor import FloorAnswer
 from hornbeamgw.core.membership import Member, Status
-from hornbeamgw.core.rendezvous import READERS_PER_DATA_CENTRE, is_reader, top
+from hornbeamgw.core.rendezvous import READERS_PER_DATA_CENTRE, is_pusher, is_reader, top
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.control import Control
 from hornbeamgw.daemon.directory import Directory
@@ -115,7 +115,7 @@
                 head = await self._source.wait_change()
                 if not self._reads_now():
                     continue
-                if await self.catch_up(head or await self.fresh_head()):
+                if await self.catch_up(head or await self.fresh_head()) and self._pushes():
                     self._control.push()
                 failures = 0
                 self._note_reached()
@@ -125,10 +125,22 @@
                 ceiling = min(POLL_BACKOFF_MAX_S, POLL_BACKOFF_S * 2**failures)
                 await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
 
+    def _all_watch(self) -> bool:
+        members = membership.reachable(self._control.view)
+        return self._source.is_whole and len(members) <= SMALL_FLEET
+
+    def _pushes(self) -> bool:
+        """Return whether to push what was read; where all watch, it serves those cut off alone."""
+        if not self._all_watch():
+            return True
+        members = membership.reachable(self._control.view)
+        version = self._control.versions.catalogue.version
+        return is_pusher(self._control.view.me, members, version)
+
     def _reads_now(self) -> bool:
         members = membership.reachable(self._control.view)
         everyone = self._control.node.spread.everyone_reads
-        if self._source.is_whole and len(members) <= SMALL_FLEET:
+        if self._all_watch():
             return True
         return everyone or is_reader(self._control.view.me, members)
 
