Play runs of a server at random; know a late heartbeat also once the later server has left

Found by the machine: after the server that was started last had left, a late heartbeat of an earlier one was taken. It is late for 6 s after the last word of the later one; after that a clock may have been set back, and then a new server must be heard. Without the check the machine fails.

--- a/features/randomised.feature
+++ b/features/randomised.feature
@@ -3,3 +3,7 @@
   Scenario: A fleet under loss, delay, restarts, outages and partitions
     When the randomised fleet runs with fixed seeds
     Then every kind of step happened and no invariant was violated
+
+  Scenario: Whatever arrives of a backend server's runs, none comes back
+    When heartbeats and farewells of many runs arrive in any order, late and twice
+    Then no run came back that was followed, has left or drains
--- a/features/reborn.feature
+++ b/features/reborn.feature
@@ -34,6 +34,19 @@
     Then that heartbeat was late
     And the run started at 2000 is "serving"
 
+  Scenario: Nor does it once the later server has left
+    Given a heartbeat 1 of "i-2" started at 2000 that is "serving"
+    And the run of "i-2" started at 2000 has left
+    And a heartbeat 99 of "i-1" started at 1000 that is "serving"
+    Then that heartbeat was late
+
+  Scenario: After a clock was set back a new server is heard once the last one is silent
+    Given a heartbeat 9 of "i-1" started at 5000 that is "serving"
+    When nothing is heard for 7 seconds
+    And a heartbeat 1 of "i-2" started at 2000 that is "serving"
+    Then that heartbeat was news
+    And the run started at 2000 is "serving"
+
   Scenario: What runs at the old run ends, and what was learned of it is forgotten
     Given a gate that runs a lookup at "i-1" started at 1000, and knows it as slow and draining
     When "i-1" is announced as started at 2000
--- a/features/steps/randomised.py
+++ b/features/steps/randomised.py
@@ -8,6 +8,8 @@
 from hornbeamgw.core import invariants
 from properties.fleet_machine import PROFILE, STEPS_BY_KIND, FleetMachine
 from properties.moods import CALM
+from properties.runs_machine import PROFILE as RUNS_PROFILE
+from properties.runs_machine import RunsMachine
 
 KINDS = len(CALM)
 
@@ -22,3 +24,17 @@
 def none_violated(context):
     assert len(STEPS_BY_KIND) >= KINDS, STEPS_BY_KIND
     assert not invariants.violations
+
+
+@when("heartbeats and farewells of many runs arrive in any order, late and twice")
+def run_servers(context):
+    context.fault = ""
+    try:
+        run_state_machine_as_test(RunsMachine, settings=RUNS_PROFILE)
+    except AssertionError as error:
+        context.fault = f"{error!r}: {error.__notes__}"
+
+
+@then("no run came back that was followed, has left or drains")
+def none_came_back(context):
+    assert not context.fault, context.fault
--- a/features/steps/reborn.py
+++ b/features/steps/reborn.py
@@ -33,13 +33,19 @@
 HEAD = heads.encode_request(heads.RequestHead(b"GET", b"/0/", [(b"host", b"test.example")]))
 
 
+@when("nothing is heard for {seconds:d} seconds")
+def silence(context, seconds):
+    context.now = 1.0 + seconds
+
+
 @given('a heartbeat {sequence:d} of "{instance}" started at {started:d} that is "{state}"')
+@when('a heartbeat {sequence:d} of "{instance}" started at {started:d} that is "{state}"')
 def heard(context, sequence, instance, started, state):
     if not hasattr(context, "runs"):
         context.runs = RegistrationState()
     beat = Heartbeat(instance, "roster", "127.0.0.1:1", 6, ServerState[state.upper()], sequence)
     beat = beat._replace(started_ms=started)
-    context.was_news = registration.take(context.runs, beat, 1.0)
+    context.was_news = registration.take(context.runs, beat, getattr(context, "now", 1.0))
 
 
 @given('the run of "{instance}" started at {started:d} has left')
--- a/hornbeamgw/core/registration.py
+++ b/hornbeamgw/core/registration.py
@@ -8,12 +8,16 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from typing import NamedTuple
 
 from hornbeamgw.core.membership import ServerState
 
 REMEMBERED_INSTANCES = 256
+# A heartbeat of another server that was started before the one heard last is a late one, unless
+# that has been silent for so long (s, four heartbeats): then a clock was set back between the two.
+LATE_WITHIN_S = 6.0
 
 
 class Heartbeat(NamedTuple):
@@ -85,7 +89,8 @@
     def __init__(self) -> None:
         """Start without a backend server."""
         self.current: Heartbeat | None = None
-        self.heard_at = 0.0
+        self.heard_at = -math.inf
+        self.latest_started_ms = 0
         self.warm_at = 0.0
         self.known_by_instance: OrderedDict[str, _Known] = OrderedDict()
 
@@ -103,17 +108,17 @@
     return known if started_ms <= known.started_ms else UNKNOWN._replace(started_ms=started_ms)
 
 
-def _is_late(state: RegistrationState, beat: Heartbeat, known: _Known) -> bool:
+def _is_late(state: RegistrationState, beat: Heartbeat, known: _Known, now: float) -> bool:
     is_earlier_run = beat.started_ms < known.started_ms
-    if state.current is not None:
-        is_earlier_run |= 0 < beat.started_ms < state.current.started_ms
+    if now - state.heard_at < LATE_WITHIN_S:
+        is_earlier_run |= 0 < beat.started_ms < state.latest_started_ms
     return is_earlier_run or known.is_gone or beat.sequence <= known.sequence
 
 
 def take(state: RegistrationState, beat: Heartbeat, now: float) -> bool:
     """Take a heartbeat and return whether it tells anything new."""
     known = _last_run(state, beat.instance, beat.started_ms)
-    if _is_late(state, beat, known):
+    if _is_late(state, beat, known, now):
         return False
     draining = known.is_draining or beat.state is ServerState.DRAINING
     if draining:
@@ -121,6 +126,7 @@
     _remember(state, beat.instance, _Known(beat.started_ms, beat.sequence, draining, False))
     state.current = beat
     state.heard_at = now
+    state.latest_started_ms = beat.started_ms
     state.warm_at = now + beat.warmup
     return True
 
@@ -129,6 +135,7 @@
     """Take a server for the one that lives here, until it says anything itself."""
     state.current = beat
     state.heard_at = now
+    state.latest_started_ms = beat.started_ms
 
 
 def retire(state: RegistrationState, instance: str, started_ms: int = 0) -> bool:
