Give what speaks to the backend server a module of its own; forget a run that ended before the next

Two faults seen on the way, each with a scenario: a run that had left before the next was announced left its speeds behind; the breaker let only idempotent requests try, so a service of others would have waited for ever, and now a heartbeat closes it.

--- a/features/breaker.feature
+++ b/features/breaker.feature
@@ -37,6 +37,13 @@
     When the server answers again
     Then a lookup is answered within a second
 
+  Scenario: A server that announces itself is tried at once, by any request
+    Given a gate beside a server that closes each connection at once
+    When 10 lookups come one after the other
+    And the server answers again
+    And the server announces itself
+    Then an entry that may not be repeated is answered at once
+
   Scenario: A server that drops idle connections is not left alone
     Given a gate beside a server that closes each connection after its first answer
     When 10 lookups come one after the other
--- a/features/reborn.feature
+++ b/features/reborn.feature
@@ -53,6 +53,11 @@
     Then the lookup may have run, for its server broke
     And the gate takes new work and knows nothing of how fast its server is
 
+  Scenario: Nothing is kept of a run that ended before the next one was announced
+    Given a gate that runs a lookup at "i-1" started at 1000, and knows it as slow and draining
+    When "i-1" leaves, and is announced as started at 2000
+    Then the gate takes new work and knows nothing of how fast its server is
+
   Scenario: Other daemons forget how slow and faulty a server was
     Given a daemon that has seen "gate-1" started at 1000 as slow and failing
     When its record says that it was started at 2000
--- a/features/steps/breaker.py
+++ b/features/steps/breaker.py
@@ -139,11 +139,11 @@
     context.runner.run(start_gate(context, True))
 
 
-async def ask(context):
+async def ask(context, idempotent=True):
     context.number += 1
     call = frames.Call(
-        context.number, f"c-{context.number}", "roster", "safe-2", True, 3000, 2, HEAD, b"", True,
-        "r-0", 900, 900, 2, limits=Limits(100, 0, 100),
+        context.number, f"c-{context.number}", "roster", "safe-2", idempotent, 3000, 2, HEAD, b"",
+        True, "r-0", 900, 900, 2, limits=Limits(100, 0, 100),
     )  # fmt: skip
     before = len(context.asker.sent)
     context.gate.on_frame(context.asker, call)
@@ -178,6 +178,20 @@
     context.answers = True
 
 
+@when("the server announces itself")
+def announces(context):
+    async def announce():
+        context.gate.announce(context.gate.announcement)
+
+    context.runner.run(announce())
+
+
+@then("an entry that may not be repeated is answered at once")
+def entry_answered(context):
+    told = context.runner.run(ask(context, idempotent=False))
+    assert isinstance(told, frames.Reply), told
+
+
 @then("a lookup is answered within a second")
 def within_a_second(context):
     async def run():
--- a/features/steps/reborn.py
+++ b/features/steps/reborn.py
@@ -132,6 +132,16 @@
     context.runner.run(announce())
 
 
+@when('"i-1" leaves, and is announced as started at 2000')
+def left_and_started(context):
+    async def leave():
+        context.gate.forget_server()
+        context.gate.announce(announcement(context.address, 2000))
+        await asyncio.sleep(0.05)
+
+    context.runner.run(leave())
+
+
 @then("the lookup may have run, for its server broke")
 def broke(context):
     refusal = context.link.sent[-1]
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -57,7 +57,7 @@
         self._decode = decode
         self._connections = connections
         self._ttl = ttl
-        gate.on_replaced = self.on_replaced
+        gate.exchange.on_replaced = self.on_replaced
 
     async def on_request(self, connection: HttpConnection, request: h11.Request) -> None:
         """Answer one heartbeat or departure."""
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -3,44 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 from collections import Counter
 from collections.abc import Callable
 
-import h11
-import msgspec
-
-from hornbeamgw.core import admission, breaker, transfers
+from hornbeamgw.core import admission, breaker
 from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
-from hornbeamgw.core.breaker import BreakerState
 from hornbeamgw.core.dialect import HORNBEAMGW, Dialect
 from hornbeamgw.core.membership import ServerState
 from hornbeamgw.core.registration import Announcement, is_renewal, is_same_run
 from hornbeamgw.core.snapshot import Limits, Snapshot
-from hornbeamgw.core.transfers import TransferState
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
-from hornbeamgw.daemon import frames, heads, server_answer
-from hornbeamgw.daemon.backend_pool import BackendPool, PoolFull
-from hornbeamgw.daemon.flow import WINDOW, Pacer
+from hornbeamgw.daemon import frames
+from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.gate_attempt import (
     GateAttempt,
     log_end,
     log_refused,
-    pump_body,
     request_of,
     stop,
 )
-from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end, header
 from hornbeamgw.daemon.link import Link
-from hornbeamgw.daemon.outgoing import Outgoing
+from hornbeamgw.daemon.server_exchange import MAX_WAIT_MS, ServerExchange
 
 __all__ = ["Announcement", "Gate"]
 
 log = logging.getLogger(__name__)
 
 RETRY_AFTER_NOT_READY_MS = 20
-MAX_WAIT_MS = 60_000
 # An answer that has begun is carried to its end, also past the deadline; one that then stalls is
 # cut off. The users' largest, 1.7 MB, take half a second over their narrowest links.
 ANSWER_MAX_S = 10.0
@@ -58,15 +48,13 @@
         pacer: Pacer | None = None,
     ) -> None:
         """Take the snapshot in force and what to call when the server's state changes."""
-        self._pacer = pacer or Pacer()
-        self._transfers = TransferState()
         self.state = AdmissionState(policy)
-        self.dialect = dialect
-        self.on_replaced: Callable[[str], None] = lambda instance: None
-        self.pool = BackendPool()
-        self.breaker = BreakerState()
         self.announcement: Announcement | None = None
+        self._last_run: Announcement | None = None
         self.counts: Counter[str] = Counter()
+        self.exchange = ServerExchange(
+            self.state, dialect, pacer or Pacer(), self.counts, self._on_stalled
+        )
         self.idle = asyncio.Event()
         self.idle.set()
         self._snapshot = snapshot
@@ -77,11 +65,15 @@
 
     def announce(self, announcement: Announcement) -> None:
         """Take or renew what the backend server says of itself."""
-        before = self.announcement
-        is_same = before is None or is_same_run(before, announcement)
-        if before is not None and not is_same:
-            is_later = 0 < before.started_ms < announcement.started_ms
+        before, last = self.announcement, self._last_run
+        is_same = last is None or is_same_run(last, announcement)
+        if last is not None and not is_same:
+            is_later = 0 < last.started_ms < announcement.started_ms
             self._forget_run(f"{announcement.instance} was started", is_later)
+        # Who announces itself lives, whatever its connections did.
+        breaker.note_sound(self.exchange.breaker)
+        self._last_run = announcement
+        self.exchange.instance = announcement.instance
         draining = self._stopping or (is_same and self.state.server_state is ServerState.DRAINING)
         if draining and announcement.state is not ServerState.DRAINING:
             announcement = announcement._replace(state=ServerState.DRAINING)
@@ -89,7 +81,7 @@
         self.state.service = announcement.service
         self.state.slots = announcement.slots
         self.state.warm_at = announcement.warm_at
-        self.pool.configure(announcement.address, announcement.connections)
+        self.exchange.pool.configure(announcement.address, announcement.connections)
         if announcement.state is ServerState.DRAINING and not draining:
             self.drain("announced by the backend server")
         self.state.server_state = announcement.state
@@ -100,9 +92,8 @@
     def _forget_run(self, why: str, is_over: bool) -> None:
         """Drop what was learned of a run; where it is surely over, end what ran there."""
         log.info("another run of the backend server", extra={"why": why, "is_over": is_over})
-        self.pool.close_idle()
+        self.exchange.forget_run()
         admission.forget_run(self.state)
-        self.breaker = BreakerState()
         if not is_over:
             return
         for attempt in list(self._attempts.values()):
@@ -120,8 +111,9 @@
     def forget_server(self) -> None:
         """Take no more work for the backend server."""
         self.announcement = None
+        self.exchange.instance = ""
         self.state.server_state = ServerState.NONE
-        self.pool.close_idle()
+        self.exchange.pool.close_idle()
         self._on_server_change()
 
     def stop(self) -> None:
@@ -205,7 +197,7 @@
             failure = not_run(Reason.NOT_READY, f"entry {call.entry}", RETRY_AFTER_NOT_READY_MS)
             self._send_failure(attempt, failure)
             return
-        wait = breaker.refusal(self.breaker, call.idempotent, now)
+        wait = breaker.refusal(self.exchange.breaker, call.idempotent, now)
         if wait:
             self.counts["refused.breaker"] += 1
             detail = "the backend server breaks off what it is sent"
@@ -213,7 +205,8 @@
             self._send_failure(attempt, failure)
             return
         self._refresh_reserved()
-        request = request_of(call, attempt_id, limits, self._transfer(link, call.route), now)
+        transfer = self.exchange.transfer_time(link, call.route)
+        request = request_of(call, attempt_id, limits, transfer, now)
         decision = admission.admit(self.state, request, call.service, now)
         if not isinstance(decision, Refused):
             self._attempts[attempt_id] = attempt
@@ -223,24 +216,20 @@
         self.counts[f"refused.{decision.failure.reason}"] += 1
         self._send_failure(attempt, decision.failure)
 
-    def _transfer(self, link: Link, route: str) -> float:
-        """Return how long (s) an answer of a route is expected to take to the other daemon."""
-        if link.peer == link.hello:
-            return 0.0
-        return transfers.expected(self._transfers, route, self._pacer.pending, self._pacer.rate)
-
     def _outlook(self, link: Link, asked: frames.OutlookRequest) -> frames.Outlook:
         assert link.peer is not None
         now = asyncio.get_running_loop().time()
         limits = self._limits(asked.entry)
         if limits is None:
             return frames.Outlook(asked.number, False, 0, 0, RETRY_AFTER_NOT_READY_MS)
-        if now < self.breaker.open_until:
-            left_ms = round((self.breaker.open_until - now) * 1000)
+        open_until = self.exchange.breaker.open_until
+        if now < open_until:
+            left_ms = round((open_until - now) * 1000)
             return frames.Outlook(asked.number, False, 0, 0, max(1, left_ms))
         self._refresh_reserved()
         attempt_id = AttemptId(link.peer.member, link.peer.incarnation, 0)
-        request = request_of(asked, attempt_id, limits, self._transfer(link, asked.route), now)
+        transfer = self.exchange.transfer_time(link, asked.route)
+        request = request_of(asked, attempt_id, limits, transfer, now)
         outlook = admission.outlook(self.state, request, asked.service, now)
         free = admission.free_slots(self.state)
         wait = outlook.wait + request.transfer
@@ -291,17 +280,11 @@
         return repeats / len(running)
 
     def _send_failure(self, attempt: GateAttempt, failure: Failure) -> None:
-        free, wait_ms = self._load()
+        free, wait_ms = self.exchange.load()
         if attempt.task is None:
             log_refused(attempt, failure, wait_ms, self.state)
         attempt.link.send(frames.Refusal(attempt.call.attempt, failure, free, wait_ms))
 
-    def _load(self) -> tuple[int, int]:
-        """Return the free slots, and how long (ms) a newcomer would wait."""
-        now = asyncio.get_running_loop().time()
-        wait = admission.expected_wait(self.state, now)
-        return admission.free_slots(self.state), min(MAX_WAIT_MS, round(wait * 1000))
-
     def _start(self, attempt: GateAttempt, deadline: float) -> None:
         self.counts["admitted"] += 1
         started = asyncio.get_running_loop().time()
@@ -313,7 +296,7 @@
     async def _run(self, attempt: GateAttempt, deadline: float) -> Failure | None:
         try:
             async with asyncio.timeout_at(deadline) as attempt.limit:
-                return await self._exchange(attempt)
+                return await self.exchange.run(attempt)
         except TimeoutError:
             return may_have_run(Reason.DEADLINE, "the deadline passed while it ran")
         except Exception as error:
@@ -353,111 +336,3 @@
         failure = may_have_run(Reason.DEADLINE, "the caller's daemon took no more of the answer")
         log.warning("answer stalled", extra={"call_id": attempt.call.call_id})
         self._send_failure(attempt, failure)
-
-    async def _exchange(self, attempt: GateAttempt) -> Failure | None:
-        call = attempt.call
-        try:
-            connection = await self.pool.acquire(call.idempotent)
-        except (OSError, TimeoutError) as error:
-            if not isinstance(error, PoolFull):
-                self._note_broken(attempt)
-            detail = str(error) or type(error).__name__
-            return not_run(Reason.BACKEND_UNREACHABLE, detail, RETRY_AFTER_NOT_READY_MS)
-        pump: asyncio.Task[None] | None = None
-        try:
-            sent = self._send_request(connection, call, attempt.deadline)
-            if not call.end:
-                attempt.link.send(frames.Credit(call.attempt, WINDOW))
-                pump = asyncio.create_task(pump_body(attempt, connection))
-            return await self._relay_reply(attempt, connection, sent)
-        except (ConnectionLost, h11.ProtocolError, msgspec.MsgspecError) as error:
-            # A kept connection may have been dropped by a server that lives.
-            if isinstance(error, ConnectionLost) and self.pool.is_fresh(connection):
-                self._note_broken(attempt)
-            detail = str(error) or "the backend server closed the connection"
-            return may_have_run(Reason.BACKEND_BROKE, detail)
-        finally:
-            if pump is not None:
-                pump.cancel()
-                with contextlib.suppress(asyncio.CancelledError, ConnectionLost, h11.ProtocolError):
-                    await pump
-            self.pool.release(connection)
-
-    def _send_request(
-        self, connection: HttpConnection, call: frames.Call, deadline: float
-    ) -> list[h11.Event]:
-        left = deadline - asyncio.get_running_loop().time()
-        instance = self.announcement.instance if self.announcement is not None else ""
-        events = server_answer.request_events(call, self.dialect, instance, left)
-        connection.send(*events)
-        return events if call.end else []
-
-    def _note_broken(self, attempt: GateAttempt) -> None:
-        now = asyncio.get_running_loop().time()
-        request = self.state.running_by_attempt.get(attempt.id)
-        if request is None:
-            return
-        expected = admission.expected_length(self.state, request, now)
-        if not breaker.is_early(now - attempt.started_at, expected):
-            return
-        if breaker.note_broken(self.breaker, now):
-            self.counts["breaker_opened"] += 1
-            until_ms = round((self.breaker.open_until - now) * 1000)
-            told = {"call_id": attempt.call.call_id, "open_ms": until_ms}
-            log.warning("backend server breaks off what it is sent", extra=told)
-
-    def _held_ms(self, attempt: GateAttempt) -> int:
-        now = asyncio.get_running_loop().time()
-        return round((now - self.state.started_by_attempt.get(attempt.id, now)) * 1000)
-
-    async def _relay_reply(
-        self, attempt: GateAttempt, connection: HttpConnection, sent: list[h11.Event]
-    ) -> Failure | None:
-        call_id = attempt.call.call_id
-        event, foreign = await server_answer.next_head(connection, self.dialect, call_id, sent)
-        breaker.note_sound(self.breaker)
-        self.counts["foreign_answers"] += foreign
-        self.pool.note_keep_alive(connection, header(event.headers, b"keep-alive"))
-        failure = server_answer.judge(self.dialect, event, call_id)
-        other = self.dialect.other_instance_status
-        if failure is not None and event.status_code == other and self.announcement is not None:
-            self.on_replaced(self.announcement.instance)
-        body, end = server_answer.take_arrived(connection)
-        if failure is not None:
-            return failure
-        size = self._pacer.part_bytes
-        first, rest = body[:size], body[size:]
-        is_whole = end and not rest
-        reply = frames.Reply(
-            attempt.call.attempt,
-            event.status_code,
-            heads.encode_headers(end_to_end(event.headers)),
-            first,
-            is_whole,
-            *self._load(),
-            self._held_ms(attempt),
-        )
-        attempt.link.send(reply)
-        if is_whole:
-            transfers.note_size(self._transfers, attempt.call.route, len(body))
-            return None
-        limit = attempt.deadline + ANSWER_MAX_S
-        if attempt.limit is not None:
-            attempt.limit.reschedule(limit)
-        outgoing = self._open_outgoing(attempt, limit)
-        outgoing.window.available -= len(first)
-        outgoing.put(rest, end)
-        size = len(first) + len(rest)
-        while not end:
-            body, end = await server_answer.next_part(connection)
-            outgoing.put(body, end)
-            size += len(body)
-            await outgoing.room()
-        transfers.note_size(self._transfers, attempt.call.route, size)
-        return None
-
-    def _open_outgoing(self, attempt: GateAttempt, limit: float) -> Outgoing:
-        link, number = attempt.link, attempt.call.attempt
-        pacer = self._pacer if link.peer != link.hello else Pacer()
-        attempt.outgoing = Outgoing(link, number, pacer, limit, lambda: self._on_stalled(attempt))
-        return attempt.outgoing
