Weigh a KB across more, and refuse to cross only where bytes outweigh what a late answer is worth

Hypothesis: half of an answer for 10 KB is too little where crossing is dear. Chosen: 5 KB. Before, a call was also refused for its expected finish where it could still have been late; now only lateness and bytes count.

--- a/hornbeamgw/core/crossing.py
+++ b/hornbeamgw/core/crossing.py
@@ -23,7 +23,7 @@
 LEAST_SPREAD = 0.2
 # Bytes whose way to another data centre costs half of what an answer in time is worth. On the
 # users' sheets that is 3.5 KB where crossing is dear and 70 to 140 KB where it is not.
-HALF_WORTH_BYTES = 10_000
+HALF_WORTH_BYTES = 5_000
 # What a late answer is worth of one in time: 0.1 to 0.5 on the users' sheets.
 LATE_WORTH = 0.2
 # Among servers that are as likely to answer in time, the sooner one; a whole objective weighs as
@@ -51,20 +51,33 @@
     return size / (size + HALF_WORTH_BYTES)
 
 
-def loss(choice: Choice, candidate: Candidate) -> float:
-    """Return which part of an answer's worth is expected to be lost at a server."""
-    member, load = candidate
+def _is_far(choice: Choice, candidate: Candidate) -> bool:
+    return candidate.member.data_centre != choice.me.data_centre
+
+
+def _wait(choice: Choice, candidate: Candidate) -> float:
     wait = placement.expected_wait(candidate, choice.traits, choice.now)
-    is_far = member.data_centre != choice.me.data_centre
-    if is_far:
+    if _is_far(choice, candidate):
         wait += placement.OTHER_DATA_CENTRE_S
-    if member.status is not Status.ALIVE:
+    if candidate.member.status is not Status.ALIVE:
         wait += placement.SUSPECT_S
-    late = chance_late(choice.traits, load.slowness, wait, choice.left)
-    finish = wait + choice.traits.service * load.slowness
-    lost = late * (1 - LATE_WORTH) + placement.failing(load, choice.now)
-    lost += FINISH_WEIGHT * finish / choice.aim
-    return lost + toll(choice.traits.size) if is_far else lost
+    return wait
+
+
+def _lost_by_lateness(choice: Choice, candidate: Candidate) -> float:
+    """Return what is lost by answers that come late, and by the bytes that cross."""
+    wait = _wait(choice, candidate)
+    late = chance_late(choice.traits, candidate.load.slowness, wait, choice.left)
+    bytes_weigh = toll(choice.traits.size) if _is_far(choice, candidate) else 0.0
+    return late * (1 - LATE_WORTH) + bytes_weigh
+
+
+def loss(choice: Choice, candidate: Candidate) -> float:
+    """Return which part of an answer's worth is expected to be lost at a server."""
+    finish = _wait(choice, candidate) + choice.traits.service * candidate.load.slowness
+    lost = _lost_by_lateness(choice, candidate)
+    lost += placement.failing(candidate.load, choice.now)
+    return lost + FINISH_WEIGHT * finish / choice.aim
 
 
 def is_worth_leaving(choice: Choice, near: Candidate | None) -> bool:
@@ -106,7 +119,7 @@
 def choose(choice: Choice, rng: random.Random) -> Candidate | None:
     """Return the server where least is expected to be lost, or None if crossing isn't worth it."""
     usable = placement.fit(choice)
-    losses = [(loss(choice, c) + rng.uniform(0, TIE), c) for c in usable]
-    least, best = min(losses, key=lambda pair: pair[0], default=(0.0, None))
-    is_far = best is not None and best.member.data_centre != choice.me.data_centre
-    return None if is_far and choice.tried and least >= 1 else best
+    best = min(usable, key=lambda c: loss(choice, c) + rng.uniform(0, TIE), default=None)
+    if best is None or not choice.tried or not _is_far(choice, best):
+        return best
+    return best if _lost_by_lateness(choice, best) < 1 else None
