--- a/features/crossing.feature
+++ b/features/crossing.feature
@@ -35,12 +35,12 @@
     And 590 ms of its time have passed
     Then it goes near
 
-  Scenario: A large call that can only be late is not sent far once the near one refused
+  Scenario: A call that can only be late is sent far once the near one refused, for late beats never
     Given sheet of 550 ms with 1500 ms to answer, 90000 bytes large
     And a server near that has a wait of 0 ms, and one far with no wait
     And 1490 ms of its time have passed
     And the server near refused it
-    Then it goes nowhere
+    Then it goes far
 
   Scenario: A service without any server near is served from far
     Given sheet of 550 ms with 1500 ms to answer, 90000 bytes large
--- a/hornbeamgw/core/crossing.py
+++ b/hornbeamgw/core/crossing.py
@@ -64,20 +64,14 @@
     return wait
 
 
-def _lost_by_lateness(choice: Choice, candidate: Candidate) -> float:
-    """Return what is lost by answers that come late, and by the bytes that cross."""
-    wait = _wait(choice, candidate)
-    late = chance_late(choice.traits, candidate.load.slowness, wait, choice.left)
-    bytes_weigh = toll(choice.traits.size) if _is_far(choice, candidate) else 0.0
-    return late * (1 - LATE_WORTH) + bytes_weigh
-
-
 def loss(choice: Choice, candidate: Candidate) -> float:
     """Return which part of an answer's worth is expected to be lost at a server."""
-    finish = _wait(choice, candidate) + choice.traits.service * candidate.load.slowness
-    lost = _lost_by_lateness(choice, candidate)
-    lost += placement.failing(candidate.load, choice.now)
-    return lost + FINISH_WEIGHT * finish / choice.aim
+    load, wait = candidate.load, _wait(choice, candidate)
+    late = chance_late(choice.traits, load.slowness, wait, choice.left)
+    finish = wait + choice.traits.service * load.slowness
+    lost = late * (1 - LATE_WORTH) + placement.failing(load, choice.now)
+    lost += FINISH_WEIGHT * finish / choice.aim
+    return lost + toll(choice.traits.size) if _is_far(choice, candidate) else lost
 
 
 def is_worth_leaving(choice: Choice, near: Candidate | None) -> bool:
@@ -117,9 +111,6 @@
 
 @register_chooser("in_time")
 def choose(choice: Choice, rng: random.Random) -> Candidate | None:
-    """Return the server where least is expected to be lost, or None if crossing isn't worth it."""
+    """Return the server where least is expected to be lost."""
     usable = placement.fit(choice)
-    best = min(usable, key=lambda c: loss(choice, c) + rng.uniform(0, TIE), default=None)
-    if best is None or not choice.tried or not _is_far(choice, best):
-        return best
-    return best if _lost_by_lateness(choice, best) < 1 else None
+    return min(usable, key=lambda c: loss(choice, c) + rng.uniform(0, TIE), default=None)
