--- a/hornbeamgw/daemon/compression.py
+++ b/hornbeamgw/daemon/compression.py
@@ -9,7 +9,7 @@
 
 import zlib
 
-# A window of 8 KB spans some twenty heads. By zlib's formulas a sender takes 48 KB and a receiver 15;
+# A window of 8 KB spans some twenty heads. By zlib's formulas a sender takes 48 KB, a receiver 15;
 # with 2 KB they take 12 and 9, but heads of several routes 100 to 130 bytes in place of 60 to 90.
 WINDOW_BITS = -13
 MEMORY_LEVEL = 5
