--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -42,11 +42,6 @@
     When a lookup that was refused before arrives 190 ms into its objective of 200 ms
     Then it runs
 
-  Scenario: After a restart of cold servers the first to end do not stand for all
-    Given a cold server with 6 slots that has measured nothing
-    When 6 lookups with an objective of 600 ms begin, and the shortest ends after 90 ms
-    Then a lookup is expected to take between 250 and 350 ms
-
   Scenario: Past saturation most of what is served is in time
     Given 30 seconds of lookups and reports at 1.3 times what 6 slots can do
     When both ways to queue serve them
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -202,8 +202,7 @@
     _remember(state, attempt, Fate.FINISHED, now)
     if is_of_this_run:
         state.service_time += SERVICE_TIME_WEIGHT * (now - started - state.service_time)
-        guess = queueing.length(state, request, now)
-        service_times.note(state.times, request.route, now - started, guess)
+        service_times.note(state.times, request.route, now - started)
     return next_decisions(state, now)
 
 
--- a/hornbeamgw/core/service_times.py
+++ b/hornbeamgw/core/service_times.py
@@ -10,10 +10,6 @@
 
 # Weight of the newest time; at 20 requests a second the estimate follows a change in a second.
 WEIGHT = 0.08
-# The guess counts like this many measured times: of requests that start together, the first to end
-# are the shortest, and after a restart of all servers a mean of those let in twice as many as could
-# be served in time.
-GUESS_COUNT = 3
 # The users' sheets set objectives at 2.5 to 4 times the work.
 GUESS_OF_OBJECTIVE = 0.3
 # A request that has outlasted its estimate is taken to need this part of its age once more,
@@ -22,11 +18,10 @@
 
 
 class Estimate(NamedTuple):
-    """Hold the mean time (s), its mean deviation (s), and how many times were measured."""
+    """Hold the mean time (s) and its mean deviation (s)."""
 
     mean: float
     deviation: float
-    measured: int = 0
 
 
 class ServiceTimes:
@@ -43,13 +38,15 @@
     return known.mean if known is not None else GUESS_OF_OBJECTIVE * objective
 
 
-def note(times: ServiceTimes, route: str, elapsed: float, guess: float) -> None:
-    """Take the time (s) that a request held a slot, and what was guessed before the first."""
-    known = times.estimates_by_route.get(route) or Estimate(guess, guess / 2)
-    weight = max(WEIGHT, 1 / (known.measured + 1 + GUESS_COUNT))
-    mean = known.mean + weight * (elapsed - known.mean)
-    deviation = known.deviation + weight * (abs(elapsed - mean) - known.deviation)
-    times.estimates_by_route[route] = Estimate(mean, deviation, known.measured + 1)
+def note(times: ServiceTimes, route: str, elapsed: float) -> None:
+    """Take the time (s) that a request held a slot."""
+    known = times.estimates_by_route.get(route)
+    if known is None:
+        times.estimates_by_route[route] = Estimate(elapsed, elapsed / 2)
+        return
+    mean = known.mean + WEIGHT * (elapsed - known.mean)
+    deviation = known.deviation + WEIGHT * (abs(elapsed - mean) - known.deviation)
+    times.estimates_by_route[route] = Estimate(mean, deviation)
 
 
 def remaining(mean: float, age: float) -> float:
