Check the row of a server in full, keep one load for each address, and let a daemon leave alone

Found on reading the change: a lone daemon that left would have divided by the members it still reaches; a row of another writer could have brought slots of any number; loads of former runs were kept for good. Scenarios in adoption.feature for the first two.

--- a/features/adoption.feature
+++ b/features/adoption.feature
@@ -38,6 +38,23 @@
     When the daemon starts again
     Then it serves for no one
 
+  Scenario Outline: A row with <fault> is no server's
+    Given the row there has <fault>
+    When the daemon starts again
+    Then it serves for no one, and has asked no one
+
+    Examples:
+      | fault                    |
+      | bytes that can't be read |
+      | no slots                 |
+      | an address that is none  |
+      | a text for the slots     |
+
+  Scenario: A daemon that is alone may leave
+    Given a member of a fleet of 1, 1 in its data centre
+    When it leaves, and time passes
+    Then nothing fails
+
   Scenario: A server that was taken up may leave without another heartbeat
     When the daemon starts again
     And the server departs
--- a/features/steps/adoption.py
+++ b/features/steps/adoption.py
@@ -5,13 +5,14 @@
 import asyncio
 import random
 
+import msgspec
 from behave import given, then, when
 
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, StoredRow
 from hornbeamgw.core import membership, node
 from hornbeamgw.core.membership import Member, ServerState
-from hornbeamgw.core.registration import Departure, Heartbeat
+from hornbeamgw.core.registration import Announcement, Departure, Heartbeat
 from hornbeamgw.core.snapshot import EMPTY
 from hornbeamgw.daemon.adoption import TABLE, Adoption
 from hornbeamgw.daemon.announcements import Announcements
@@ -200,3 +201,30 @@
     for effect in sent:
         states = {m.address: m.server_state for m in effect.envelope.gossip}
         assert states[context.node.view.me.address] is ServerState.SERVING, states
+
+
+@when("it leaves, and time passes")
+def leaves(context):
+    moment, rng = node.Moment(1.0, 1.0), random.Random(1)
+    node.leave(context.node, moment, rng)
+    context.effects = node.tick(context.node, moment, rng)
+
+
+@then("nothing fails")
+def nothing_fails(context):
+    assert not [effect for effect in context.effects if not isinstance(effect, node.Send)]
+
+
+WRONG = {
+    "no slots": {"slots": 0},
+    "an address that is none": {"address": "nowhere"},
+    "a text for the slots": {"slots": "six"},
+}
+
+
+@given("the row there has {fault}")
+def wrong_row(context, fault):
+    kept = msgspec.json.decode(context.rows.values[TABLE, KEY])
+    named = dict(zip(Announcement._fields, kept, strict=True))
+    wrong = msgspec.json.encode(list({**named, **WRONG.get(fault, {})}.values()))
+    context.rows.values[TABLE, KEY] = wrong if fault in WRONG else b"\xff\x00"
--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -326,7 +326,7 @@
 
 def _look_for_returned(state: MembershipState, now: float, rng: random.Random) -> list[Outgoing]:
     """Return probes of members that ended of late; nothing follows where they stay silent."""
-    share = RETURN_PROBES_PER_S * state.timing.probe_interval / len(reachable(state))
+    share = RETURN_PROBES_PER_S * state.timing.probe_interval / max(1, len(reachable(state)))
     ended = [a for a, at in state.ended_at_by_address.items() if now - at < RETURN_EXPECTED_S]
     chosen = [address for address in ended if rng.random() < share]
     return [Outgoing(address, Probe(_nonce(state))) for address in chosen]
--- a/hornbeamgw/daemon/adoption.py
+++ b/hornbeamgw/daemon/adoption.py
@@ -15,8 +15,9 @@
 import msgspec
 
 from hornbeamgw.backends.base import PlatformError
-from hornbeamgw.backends.rows import RowStore
+from hornbeamgw.backends.rows import RowStore, StoredRow
 from hornbeamgw.core.membership import ServerState
+from hornbeamgw.core.options import is_address
 from hornbeamgw.core.registration import Announcement
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, header
 
@@ -26,6 +27,7 @@
 # A health check takes 6 ms, and waits for a slot where the server is busy.
 CHECK_TIMEOUT_S = 0.5
 HEALTHY = 200
+MOST_SLOTS = 0xFFFF  # what a member's record carries
 WRITE_TRIES = 3
 RETRY_S = 0.5
 
@@ -33,6 +35,16 @@
 _decoder = msgspec.json.Decoder(Announcement)
 
 
+def _announcement_of(row: StoredRow) -> Announcement:
+    """Return what a row keeps; raise ValueError where another writer put something else."""
+    known = _decoder.decode(row.value or b"")
+    if not is_address(known.address):
+        raise ValueError(f"address {known.address!r}, expected an IP number and a port")
+    if not 1 <= known.slots <= MOST_SLOTS:
+        raise ValueError(f"slots {known.slots!r}, expected 1 to {MOST_SLOTS}")
+    return known
+
+
 class Adoption:
     """Own the row of the server beside this daemon."""
 
@@ -76,8 +88,8 @@
         """Return what the server said before this daemon's start, or None."""
         try:
             page = await self._rows.read(TABLE, self._key)
-            return _decoder.decode(page.rows[0].value or b"") if page.rows else None
-        except (PlatformError, msgspec.MsgspecError) as error:
+            return _announcement_of(page.rows[0]) if page.rows else None
+        except (PlatformError, ValueError) as error:
             log.info("no row of a server", extra={"error": str(error)})
             return None
 
--- a/hornbeamgw/daemon/servers.py
+++ b/hornbeamgw/daemon/servers.py
@@ -29,7 +29,7 @@
         self._choose = choose
         self._rng = rng
         self._placement = PlacementState()
-        self._loads_by_run: dict[tuple[str, int], Load] = {}
+        self._loads_by_address: dict[str, tuple[int, Load]] = {}
         self._serving_at = -1
         self._serving_by_service: dict[str, list[Member]] = {}
 
@@ -53,10 +53,11 @@
         return [Candidate(m, self._load(m, now)) for m in members]
 
     def _load(self, member: Member, now: float) -> Load:
-        run = (member.address, member.server_started_ms)
-        load = self._loads_by_run.get(run)
-        if load is None:
-            load = self._loads_by_run[run] = Load(now)
+        """Return what was seen of the server there; another run of it starts anew."""
+        started_ms, load = self._loads_by_address.get(member.address, (-1, None))
+        if load is None or started_ms != member.server_started_ms:
+            load = Load(now)
+            self._loads_by_address[member.address] = (member.server_started_ms, load)
         return load
 
     def _choice(self, call: Call, view: View, now: float) -> Choice:
