Learn how long work takes only from work that was done

Found by the breaker's scenario, which failed once the first measured time stood for itself again: what a server breaks off or sheds within a millisecond was taken for its time of service, so such a server looked fast, the gate let in more, and an early loss no longer looked early. Now only answers and deadlines count.

Mutants for what is new: runs, adoption, crossing, daemons that come back, breaker; one that named a line which had moved is mended.

--- a/features/breaker.feature
+++ b/features/breaker.feature
@@ -37,6 +37,11 @@
     When the server answers again
     Then a lookup is answered within a second
 
+  Scenario: What a server breaks off or sheds says nothing of how long its work takes
+    Given a gate beside a server that closes each connection at once
+    When 10 lookups come one after the other
+    Then nothing is known of how long a lookup takes
+
   Scenario: A server that announces itself is tried at once, by any request
     Given a gate beside a server that closes each connection at once
     When 10 lookups come one after the other
--- a/features/steps/breaker.py
+++ b/features/steps/breaker.py
@@ -168,6 +168,11 @@
     assert len(failures) - len(context.not_run) <= count, failures
 
 
+@then("nothing is known of how long a lookup takes")
+def nothing_known(context):
+    assert not context.gate.state.times.estimates_by_route, context.gate.state.times
+
+
 @then("the rest did not run and are told when to come back")
 def rest(context):
     assert context.not_run and all(f.retry_after_ms > 0 for f in context.not_run)
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -194,13 +194,22 @@
     return decisions
 
 
-def finish(state: AdmissionState, attempt: AttemptId, started: float, now: float) -> list[Decision]:
-    """Free the slot of a request and return what its end lets happen."""
+def finish(
+    state: AdmissionState,
+    attempt: AttemptId,
+    started: float,
+    now: float,
+    has_worked: bool = True,
+) -> list[Decision]:
+    """Free the slot of a request and return what its end lets happen.
+
+    How long it held the slot counts as time of service only where the server has worked on it.
+    """
     request = state.running_by_attempt.pop(attempt)
     is_of_this_run = state.started_by_attempt.pop(attempt, None) is not None
     state.running_count_by_entry[request.entry] -= 1
     _remember(state, attempt, Fate.FINISHED, now)
-    if is_of_this_run:
+    if is_of_this_run and has_worked:
         state.service_time += SERVICE_TIME_WEIGHT * (now - started - state.service_time)
         service_times.note(state.times, request.route, now - started)
     return next_decisions(state, now)
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -314,7 +314,8 @@
             failure = task.result()
         now = asyncio.get_running_loop().time()
         log_end(attempt, failure, now)
-        decisions = admission.finish(self.state, attempt.id, started, now)
+        has_worked = failure is None or failure.reason is Reason.DEADLINE
+        decisions = admission.finish(self.state, attempt.id, started, now, has_worked)
         if failure is not None:
             self.counts[f"failed.{failure.reason}"] += 1
             self._send_failure(attempt, failure)
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -23,6 +23,11 @@
 COMMIT = "features/commit.feature"
 RECOVERY = "features/recovery.feature"
 SPREADING = "features/spreading.feature"
+REBORN = "features/reborn.feature"
+ADOPTION = "features/adoption.feature"
+CROSSING = "features/crossing.feature"
+OUTSIDE = "features/outside.feature"
+BREAKER = "features/breaker.feature"
 
 
 class Mutant(NamedTuple):
@@ -35,6 +40,36 @@
 
 
 MUTANTS = (
+    Mutant(
+        "a run of a server that was followed by a later one never comes back",
+        "hornbeamgw/core/registration.py",
+        (("if now - state.heard_at < LATE_WITHIN_S:", "if False:"),),
+        REBORN,
+    ),
+    Mutant(
+        "after a restart only the very same server is taken up",
+        "hornbeamgw/daemon/adoption.py",
+        (("answer.status == HEALTHY and told == known.instance.encode()", "True"),),
+        ADOPTION,
+    ),
+    Mutant(
+        "what a call moves weighs against leaving its data centre",
+        "hornbeamgw/core/crossing.py",
+        (("return size / (size + HALF_WORTH_BYTES)", "return 0.0"),),
+        CROSSING,
+    ),
+    Mutant(
+        "daemons that were stopped are looked for",
+        "hornbeamgw/core/membership.py",
+        (("RETURN_EXPECTED_S = 30.0", "RETURN_EXPECTED_S = 0.0"),),
+        OUTSIDE,
+    ),
+    Mutant(
+        "a server that breaks off all is left alone",
+        "hornbeamgw/core/breaker.py",
+        (("OPEN_AFTER = 2", "OPEN_AFTER = 10**9"),),
+        BREAKER,
+    ),
     Mutant(
         "a known version is passed on to a range not covered yet",
         "hornbeamgw/core/node.py",
@@ -178,7 +213,7 @@
     ),
     Mutant(
         "a slot is free before its answer has travelled",
-        "hornbeamgw/daemon/gate.py",
+        "hornbeamgw/daemon/server_exchange.py",
         (
             (
                 "            await outgoing.room()\n        transfers",
