--- a/hornbeamgw/core/options.py
+++ b/hornbeamgw/core/options.py
@@ -17,6 +17,7 @@
 
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
+Figure = Annotated[float, msgspec.Meta(ge=0)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^\S+:[0-9]{1,5}$")]
 
 ENVIRONMENT_KEYS = {
@@ -56,8 +57,8 @@
 class BudgetFile(TypedDict):
     """Hold how often the whole fleet may send requests of a service once more."""
 
-    ratio: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=10)]]
-    slack: NotRequired[Count]
+    ratio: NotRequired[Figure]
+    slack: NotRequired[Figure]
     window: NotRequired[Duration]
 
 
@@ -95,7 +96,7 @@
     metrics: NotRequired[Address]
     seeds: NotRequired[list[Address]]
     directory: NotRequired[bool]
-    bandwidth: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=1e6)]]  # Mbit/s, 0 if unknown
+    bandwidth: NotRequired[Figure]  # Mbit/s, 0 if unknown
     source: NotRequired[Text]
     plugins: NotRequired[PluginsFile]
     server: NotRequired[ServerFile]
@@ -131,7 +132,7 @@
     server_connections: int = 100
     server_announce_ttl: float = 6.0
     budget_ratio: float = 0.2
-    budget_slack: int = 50
+    budget_slack: float = 50.0
     budget_window: float = 10.0
     platform_adapter: str = "http"
     platform_timeout: float = 1.0
--- a/hornbeamgw/core/problems.py
+++ b/hornbeamgw/core/problems.py
@@ -48,7 +48,7 @@
 Size = Annotated[float, SIZE]
 
 MISSING = "(missing)"
-_QUANTITY = re.compile(r"([0-9]+(?:\.[0-9]+)?)\s*([A-Za-z]+)")
+_QUANTITY = re.compile(r"([0-9]+(?:\.[0-9]+)?(?:[eE][+-]?[0-9]+)?)\s*([A-Za-z]+)")
 
 
 def parse_quantity(value: object, unit: Unit) -> float | None:
@@ -108,7 +108,10 @@
 def check_mapping(
     document: object, shape: type, source: str, path: str = ""
 ) -> tuple[dict[str, Any], list[Problem]]:
-    """Check a mapping against a TypedDict and return the values with all problems."""
+    """Check a mapping against a TypedDict and return the values with all problems.
+
+    A key that may be left out counts as left out where its value is empty.
+    """
     if not isinstance(document, Mapping):
         return {}, [Problem(source, path or "(document)", document, "a mapping")]
     hints = _hints_of(shape)
@@ -121,6 +124,8 @@
     values: dict[str, Any] = {}
     for key, hint in hints.items():
         optional = get_origin(hint) is NotRequired
+        if optional and document.get(key, MISSING) is None:
+            continue
         if key in document:
             inner = get_args(hint)[0] if optional else hint
             values[key], found = _check_value(document[key], inner, f"{prefix}{key}", source)
@@ -131,7 +136,16 @@
 
 
 def read_yaml(text: str, source: str) -> tuple[object, list[Problem]]:
-    """Parse YAML text and return the document or the place where it is malformed."""
+    """Parse YAML text and return the document or the place where it is malformed.
+
+    JSON is YAML too, and a daemon whose settings are JSON starts without loading the YAML library:
+    that takes some 60 ms of a start on a whole core.
+    """
+    if text.lstrip().startswith("{"):
+        try:
+            return msgspec.json.decode(text), []
+        except msgspec.DecodeError:
+            pass  # Flow mappings of YAML look alike; the YAML library tells what is wrong.
     try:
         return msgspec.yaml.decode(text), []
     except msgspec.DecodeError as error:
--- a/hornbeamgw/core/retry_budget.py
+++ b/hornbeamgw/core/retry_budget.py
@@ -17,10 +17,10 @@
 
 
 class Bound(NamedTuple):
-    """Hold the bound of the whole fleet: share of the requests, count, and window (s)."""
+    """Hold the bound of the whole fleet: share of the requests, requests, and window (s)."""
 
     ratio: float
-    slack: int
+    slack: float
     window: float
 
 
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -59,6 +59,7 @@
 PORT_TRIES = 20
 CLAIMED_PORTS = (20_000, 32_000)  # Linux gives 32,768 and above to outgoing connections
 BYTES_PER_MEGABIT = 125_000
+MOST_MEGABITS = 1e6  # no link is wider yet, and a member's record carries it in 64 bits
 EXIT_OK = 0
 EXIT_CUT_OFF = 3
 
@@ -74,7 +75,7 @@
             settings.data_centre,
             settings.region,
             time.time_ns() // 1_000_000,
-            bandwidth=round(settings.bandwidth * BYTES_PER_MEGABIT),
+            bandwidth=round(min(settings.bandwidth, MOST_MEGABITS) * BYTES_PER_MEGABIT),
         )
         platform = factories_by_name[settings.platform_adapter](
             settings.platform_address, settings.platform_timeout
