--- a/hornbeamgw/core/catalogue.py
+++ b/hornbeamgw/core/catalogue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
 
 import msgspec
@@ -93,6 +93,7 @@
 }
 SECTIONS_BY_KIND = {"entry": "entries", "service": "services", "route": "routes"}
 MAX_ITEMS = 20_000
+DIGEST_BYTES = 16
 ANY_METHOD = "*"
 
 
@@ -104,11 +105,33 @@
     version: int | None
 
 
+def _digest_of_item(key: str, item: Item) -> int:
+    encoded = msgspec.json.encode([key, item.revision, item.body], order="sorted")
+    return int.from_bytes(hashlib.sha256(encoded).digest()[:DIGEST_BYTES], "big")
+
+
+def _as_digest(total: int) -> str:
+    return (total % (1 << 8 * DIGEST_BYTES)).to_bytes(DIGEST_BYTES, "big").hex()
+
+
 def digest_of(items: Items) -> str:
-    """Return the hex digest (128 bits) of a whole catalogue."""
-    rows = [[key, items[key].revision, items[key].body] for key in sorted(items)]
-    encoded = msgspec.json.encode(rows, order="sorted")
-    return hashlib.sha256(encoded).hexdigest()[:32]
+    """Return the hex digest (128 bits) of a whole catalogue: the sum of its items' digests."""
+    return _as_digest(sum(_digest_of_item(key, item) for key, item in items.items()))
+
+
+def digest_after(digest: str, before: Items, after: Items, changed: Iterable[str]) -> str:
+    """Return the digest after some items changed, at the price of these alone.
+
+    It tells apart what daemons and operators write by mistake; a sum withstands no forger, and
+    whoever can forge a version can write one to the platform as well.
+    """
+    total = int(digest, 16)
+    for key in changed:
+        if key in before:
+            total -= _digest_of_item(key, before[key])
+        if key in after:
+            total += _digest_of_item(key, after[key])
+    return _as_digest(total)
 
 
 def short_digest(digest: str) -> int:
@@ -189,32 +212,58 @@
 NO_ITEMS: Items = {}
 
 
+def changed_keys(items: Items, base: Items) -> list[str]:
+    """Return the keys, in order, whose item isn't the very object that a base holds."""
+    return sorted(key for key, item in items.items() if base.get(key) is not item)
+
+
+def _match_problems(items: Items, hosts: set[str], source: str) -> list[Problem]:
+    """Return which routes of some hosts take the same requests as another one."""
+    problems: list[Problem] = []
+    routes_by_match: dict[tuple[str, str, str], str] = {}
+    for key in sorted(key for key in items if key.startswith("route/")):
+        body = items[key].body
+        if body["host"] not in hosts:
+            continue
+        for method in body.get("methods", (ANY_METHOD,)):
+            other = routes_by_match.setdefault((body["host"], body["prefix"], method), key)
+            if other != key:
+                expected = f"a match that {other} does not have already"
+                problems.append(Problem(source, f"{key}.methods", method, expected))
+    return problems
+
+
+def _has_lost_names(items: Items, trusted: Items) -> bool:
+    """Return whether an entry or service that a trusted route may name is gone."""
+    return any(key not in items and not key.startswith("route/") for key in trusted)
+
+
 def validate(items: Items, source: str = "catalogue", trusted: Items = NO_ITEMS) -> list[Problem]:
     """Return every problem of a whole catalogue: form, names, references and sizes.
 
-    The form of an item is not looked at again where it is the very object of a trusted one.
+    Trusted items are those of a catalogue without a problem: only what differs from it is looked
+    at, and routes on hosts where a route differs.
     """
     problems: list[Problem] = []
     if len(items) > MAX_ITEMS:
         problems.append(Problem(source, "(document)", len(items), f"at most {MAX_ITEMS} items"))
-    routes_by_match: dict[tuple[str, str, str], str] = {}
-    for key in sorted(items):
-        body = items[key].body
-        is_known = trusted.get(key) is items[key]
-        found = [] if is_known else check_body(key, body, source, key)
-        problems += found
+    changed = changed_keys(items, trusted)
+    misshapen = set()
+    for key in changed:
+        found = check_body(key, items[key].body, source, key)
         if found:
-            continue
-        if key.startswith("entry/"):
-            problems += _limit_problems(key, body["limits"], source)
-        if key.startswith("route/"):
-            problems += _route_problems(key, body, items, source)
-            for method in body.get("methods", (ANY_METHOD,)):
-                other = routes_by_match.setdefault((body["host"], body["prefix"], method), key)
-                if other != key:
-                    expected = f"a match that {other} does not have already"
-                    problems.append(Problem(source, f"{key}.methods", method, expected))
-    return problems
+            misshapen.add(key)
+            problems += found
+        elif key.startswith("entry/"):
+            problems += _limit_problems(key, items[key].body["limits"], source)
+    sound = {key: item for key, item in items.items() if key not in misshapen}
+    looked_at = sorted(items) if _has_lost_names(items, trusted) else changed
+    routes = [key for key in looked_at if key.startswith("route/") and key in sound]
+    for key in routes:
+        problems += _route_problems(key, items[key].body, items, source)
+    differing = {key for key in changed if key.startswith("route/")} - misshapen
+    hosts = {items[key].body["host"] for key in differing}
+    return problems + (_match_problems(sound, hosts, source) if hosts else [])
 
 
 def to_file(items: Items, version: int) -> dict[str, Any]:
--- a/hornbeamgw/core/edit.py
+++ b/hornbeamgw/core/edit.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from hornbeamgw.core.catalogue import Item, Items, ParsedFile, digest_of, validate
+from hornbeamgw.core.catalogue import Item, Items, ParsedFile, digest_after, digest_of, validate
 from hornbeamgw.core.problems import Problem
 
 
@@ -91,6 +91,11 @@
     return merged
 
 
+def _digest_after(catalogue: Catalogue, items: Items, changes: Sequence[Any]) -> str:
+    keys = {change["key"] for change in changes}
+    return digest_after(catalogue.digest, catalogue.items, items, keys)
+
+
 def conflicts_of(catalogue: Catalogue, edit: Edit) -> list[Conflict]:
     """Return the changes whose base revision is not the current one."""
     found = []
@@ -121,7 +126,7 @@
         author=edit["author"],
         at_ms=at_ms,
         parent_digest=catalogue.digest,
-        digest=digest_of(items),
+        digest=_digest_after(catalogue, items, changes),
         changes=changes,
     )
     return Ok(delta)
@@ -140,7 +145,7 @@
         return Err(f"delta {delta['version']} has another parent digest")
     revision = NO_REVISION if "parent_version" in delta else delta["version"]
     items = _merged(catalogue.items, revision, delta["changes"])
-    if digest_of(items) != delta["digest"]:
+    if _digest_after(catalogue, items, delta["changes"]) != delta["digest"]:
         return Err(f"delta {delta['version']} does not give the digest that it names")
     return Ok(Catalogue(delta["version"], delta["digest"], items))
 
@@ -164,7 +169,7 @@
         author="outside",
         at_ms=at_ms,
         parent_digest=catalogue.digest,
-        digest=digest_of(items),
+        digest=_digest_after(catalogue, items, changes),
         changes=changes,
         parent_version=catalogue.version,
     )
--- a/hornbeamgw/core/problems.py
+++ b/hornbeamgw/core/problems.py
@@ -105,6 +105,31 @@
     return get_type_hints(shape, include_extras=True)
 
 
+@functools.cache
+def _is_plain(shape: type) -> bool:
+    """Return whether all values of a mapping are written as they are kept, without units."""
+    for hint in _hints_of(shape).values():
+        inner = get_args(hint)[0] if get_origin(hint) is NotRequired else hint
+        inner = get_args(inner)[0] if get_origin(inner) is list else _strip_optional(inner)
+        if _unit_of(inner) is not None or (_is_typed_dict(inner) and not _is_plain(inner)):
+            return False
+    return True
+
+
+def _converted(document: Mapping[Any, Any], shape: type) -> dict[str, Any] | None:
+    """Return a document without any problem as its values, or None for the full check.
+
+    A catalogue of 1,200 routes is checked in a tenth of the time of the full check, which a daemon
+    on half a core needs 0.4 s for as it starts.
+    """
+    try:
+        values: dict[str, Any] = msgspec.convert(document, shape)
+    except msgspec.ValidationError:
+        return None
+    # A key that the shape lacks is left out by the conversion.
+    return values if values == document else None
+
+
 def check_mapping(
     document: object, shape: type, source: str, path: str = ""
 ) -> tuple[dict[str, Any], list[Problem]]:
@@ -114,6 +139,10 @@
     """
     if not isinstance(document, Mapping):
         return {}, [Problem(source, path or "(document)", document, "a mapping")]
+    if _is_plain(shape):
+        converted = _converted(document, shape)
+        if converted is not None:
+            return converted, []
     hints = _hints_of(shape)
     prefix = f"{path}." if path else ""
     problems = [
--- a/hornbeamgw/core/versions.py
+++ b/hornbeamgw/core/versions.py
@@ -92,7 +92,7 @@
         return None
     if known.version <= state.snapshot.version or known.version in state.rejected_by_version:
         return None
-    built = build(known.version, known.digest, known.items, state.built_items)
+    built = build(known.version, known.digest, known.items, state.built_items, state.snapshot)
     if isinstance(built, Err):
         state.rejected_by_version[known.version] = built.err_value
         return None
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -182,7 +182,8 @@
         self._reserved_for = (snapshot, service)
         self.state.reserved_by_entry = {
             route.entry.name: route.entry.limits.reserved
-            for routes in snapshot.routes_by_host.values()
+            for routes_by_prefix in snapshot.routes_by_host.values()
+            for routes in routes_by_prefix.values()
             for route in routes
             if route.entry.limits.reserved and any(part.service == service for part in route.parts)
         }
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -115,7 +115,10 @@
                 "if False:",
             ),
             ('if delta["parent_digest"] != catalogue.digest:', "if False:"),
-            ('if digest_of(items) != delta["digest"]:', "if False:"),
+            (
+                'if _digest_after(catalogue, items, delta["changes"]) != delta["digest"]:',
+                "if False:",
+            ),
         ),
         FLEET,
     ),
