--- a/features/outside.feature
+++ b/features/outside.feature
@@ -65,15 +65,32 @@
 
   Scenario Outline: The write of a daemon's own row gets no answer
     Given the next write to the store is "<fault>"
-    When one of them restarts as a new process at the same address
+    When one more daemon starts
     Then all of them have version 3 in force and know one another
-    And the row of each of them is in the store after 2 seconds
+    And the row of each of them is in the store after 4 seconds
 
     Examples:
       | fault       |
       | lose_answer |
       | late        |
 
+  Scenario: A daemon that restarts where nothing has changed asks for the fleet and the version
+    Given the row of each of them is in the store after 3 seconds
+    When the calls to the store are counted
+    And one of them restarts as a new process at the same address
+    Then all of them have version 3 in force and know one another
+    And after 1 second the store was asked once for the daemons and once for the version
+
+  Scenario: A fleet that starts for the first time asks for itself once and writes each row once
+    Given the store holds version 5, and nine daemons start with it for the first time
+    Then after 6 seconds each of them knows the others and has version 5 in force
+    And each of them has written its row once and read the daemons once
+
+  Scenario: Two that start together, with rows of daemons that are gone, find one another
+    Given the store holds rows of three daemons that are gone
+    When two daemons start in an instant
+    Then after 8 seconds these two know one another
+
   Scenario: The store bounds the calls of a second
     Given the store takes 4 calls a second
     When the operator writes version 16 with one more route
@@ -100,6 +117,7 @@
     Then all of them still have version 9 in force after 1 second
 
   Scenario: The row of a daemon that ended is swept, and no other
-    When one of them ends without a word and the others notice
+    When the row of each of them is in the store after 3 seconds
+    And one of them ends without a word and the others notice
     And one of the others sweeps
     Then the rows of the others are left
--- a/features/steps/adoption.py
+++ b/features/steps/adoption.py
@@ -14,14 +14,16 @@
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.registration import Announcement, Departure, Heartbeat
 from hornbeamgw.core.snapshot import EMPTY
-from hornbeamgw.daemon.adoption import TABLE, Adoption
+from hornbeamgw.daemon.adoption import Adoption
 from hornbeamgw.daemon.announcements import Announcements
 from hornbeamgw.daemon.gate import Gate
 from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
+from hornbeamgw.daemon.presence import TABLE, OwnRow
 
 KEY = "10.0.0.9:7400"
 HEALTH = {"roster": "/healthz"}
 SILENT_S = 5.0
+ADOPTED_WITHIN_S = 1.0
 
 
 class Rows:
@@ -70,9 +72,16 @@
 async def begin(context):
     """Start a daemon's part that knows its server, with nothing known."""
     context.gate = Gate(lambda: EMPTY, lambda: None)
-    adoption = Adoption(context.rows, KEY, b"x-instance-id")
-    context.taker = Announcements(context.gate, None, 10, 6.0, adoption=adoption)
-    context.writing = asyncio.create_task(adoption.run())
+    row = OwnRow(context.rows, Member(KEY, "suva-1", "fiji", 1))
+    context.taker = Announcements(
+        context.gate, None, 10, 6.0, adoption=Adoption(row, b"x-instance-id")
+    )
+    context.writing = asyncio.create_task(row.run())
+    try:
+        page = await context.rows.read(TABLE, KEY)
+    except PlatformError:
+        return
+    row.found(page.rows[0] if page.rows else None)
 
 
 @given('a daemon that has heard of the server "i-1", and a store that keeps its row')
@@ -151,7 +160,9 @@
     async def again():
         context.writing.cancel()
         await begin(context)
-        await context.taker.adopt(HEALTH.get)
+        adopting = asyncio.create_task(context.taker.adopt(HEALTH.get))
+        await asyncio.wait([adopting], timeout=ADOPTED_WITHIN_S)
+        adopting.cancel()
 
     context.runner.run(again())
 
@@ -224,7 +235,7 @@
 
 @given("the row there has {fault}")
 def wrong_row(context, fault):
-    kept = msgspec.json.decode(context.rows.values[TABLE, KEY])
+    member, kept = msgspec.json.decode(context.rows.values[TABLE, KEY])
     named = dict(zip(Announcement._fields, kept, strict=True))
-    wrong = msgspec.json.encode(list({**named, **WRONG.get(fault, {})}.values()))
+    wrong = msgspec.json.encode([member, list({**named, **WRONG.get(fault, {})}.values())])
     context.rows.values[TABLE, KEY] = wrong if fault in WRONG else b"\xff\x00"
--- a/features/steps/outside.py
+++ b/features/steps/outside.py
@@ -34,7 +34,7 @@
     return msgspec.msgpack.encode(document)
 
 
-async def start_daemon(context, address="127.0.0.1:0", store_address=""):
+async def start_daemon(context, address="127.0.0.1:0", store_address="", **changed):
     return await context.fleet.start(
         address=address,
         seeds=(),
@@ -43,13 +43,14 @@
         platform_adapter="mesh",
         platform_address=store_address or context.store_address,
         platform_timeout=0.5,
+        **changed,
     )
 
 
 async def known_to_all(context):
     for daemon in context.living:
         members = daemon.control.view.members_by_address
-        await wait_for(lambda m=members: len(m) == DAEMONS)
+        await wait_for(lambda m=members: len(m) == len(context.living))
 
 
 async def in_force(context, number, seconds=10.0):
@@ -165,6 +166,8 @@
     context.store.calls_per_s = rate
 
 
+@given("the row of each of them is in the store after {seconds:d} seconds")
+@when("the row of each of them is in the store after {seconds:d} seconds")
 @then("the row of each of them is in the store after {seconds:d} seconds")
 def rows_there(context, seconds):
     context.runner.run(asyncio.sleep(seconds))
@@ -222,6 +225,98 @@
         assert daemon.control.versions.snapshot.version == number
 
 
+@when("one more daemon starts")
+def one_more(context):
+    async def begin():
+        context.living.append(await start_daemon(context))
+
+    context.runner.run(begin())
+
+
+def counted(context, what):
+    """Return how often the store was asked so since the count began."""
+    return context.store.calls_by_place[what] - context.counted[what]
+
+
+@when("the calls to the store are counted")
+def count(context):
+    context.counted = context.store.calls_by_place.copy()
+
+
+@then("after {seconds:d} second the store was asked once for the daemons and once for the version")
+def asked_little(context, seconds):
+    context.runner.run(asyncio.sleep(seconds))
+    assert counted(context, ("rows-get", TABLE)) == 1, context.store.calls_by_place
+    assert counted(context, ("rows-get", "op")) == 1, context.store.calls_by_place
+    assert counted(context, ("rows-tx", "")) == 0, context.store.calls_by_place
+
+
+@given("the store holds version {number:d}, and nine daemons start with it for the first time")
+def all_new(context, number):
+    async def begin():
+        context.store.rows_by_place.clear()
+        context.store.put("op", "config", version_of(number))
+        context.fresh = LocalFleet(f"{context.scenario.name} anew")
+        context.counted = context.store.calls_by_place.copy()
+        context.fleet, old = context.fresh, context.fleet
+        await old.close()
+        context.living = [await start_daemon(context, first_start=True) for _ in range(9)]
+
+    context.runner.run(begin())
+
+
+@then("after {seconds:d} seconds each of them knows the others and has version {number:d} in force")
+def know_after(context, seconds, number):
+    async def check():
+        async with asyncio.timeout(seconds):
+            await known_to_all(context)
+            await in_force(context, number)
+
+    context.runner.run(check())
+
+
+@then("each of them has written its row once and read the daemons once")
+def asked_once(context):
+    assert counted(context, ("rows-tx", "")) == 9, context.store.calls_by_place
+    assert counted(context, ("rows-get", TABLE)) == 9, context.store.calls_by_place
+
+
+@given("the store holds rows of three daemons that are gone")
+def rows_of_gone(context):
+    async def end():
+        await asyncio.sleep(3)
+        for daemon in context.living:
+            await context.fleet.crash(daemon)
+        context.living = []
+
+    context.runner.run(end())
+
+
+@when("two daemons start in an instant")
+def two_start(context):
+    async def begin():
+        context.living = list(await asyncio.gather(start_daemon(context), start_daemon(context)))
+
+    context.runner.run(begin())
+
+
+@then("after {seconds:d} seconds these two know one another")
+def two_know(context, seconds):
+    first, second = (daemon.control.view for daemon in context.living)
+
+    async def check():
+        async with asyncio.timeout(seconds):
+            while not (knows(first, second) and knows(second, first)):
+                await asyncio.sleep(CHECK_S)
+
+    context.runner.run(check())
+
+
+def knows(view, other):
+    member = view.members_by_address.get(other.me.address)
+    return member is not None and member.status is Status.ALIVE
+
+
 @when("two of them end without a word")
 def two_end(context):
     async def end():
--- a/features/steps/reborn.py
+++ b/features/steps/reborn.py
@@ -295,7 +295,7 @@
 
 def row_of(key, **changed):
     values = {**MEMBER, "address": key, **changed}
-    return StoredRow(key, msgspec.json.encode(list(values.values())), 1)
+    return StoredRow(key, msgspec.json.encode([list(values.values()), None]), 1)
 
 
 @given("rows of two daemons, one of them with {fault}")
--- a/hornbeamgw/core/options.py
+++ b/hornbeamgw/core/options.py
@@ -96,6 +96,7 @@
     metrics: NotRequired[Address]
     seeds: NotRequired[list[Address]]
     directory: NotRequired[bool]
+    first_start: NotRequired[bool]  # the whole fleet is new, and nothing was kept of it before
     bandwidth: NotRequired[Figure]  # Mbit/s, 0 if unknown
     source: NotRequired[Text]
     plugins: NotRequired[PluginsFile]
@@ -124,6 +125,7 @@
     metrics: str = ""
     seeds: tuple[str, ...] = ()
     directory: bool = False
+    first_start: bool = False
     bandwidth: float = 0.0
     source: str = "commits"
     plugins_modules: tuple[str, ...] = ()
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from importlib import resources
+from pathlib import Path
 from typing import Any
 
 import capnp
@@ -14,7 +14,8 @@
 from hornbeamgw.daemon import frames
 
 capnp.remove_import_hook()
-schema = capnp.load(str(resources.files("hornbeamgw") / "schema" / "messages.capnp"))
+# Not by importlib.resources, which brings 14 modules that a daemon has no other use for.
+schema = capnp.load(str(Path(__file__).parents[1] / "schema" / "messages.capnp"))
 
 MAX_FRAME = 16 * 1024 * 1024
 LENGTH_BYTES = 4
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import time
+from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any
 
@@ -56,6 +57,7 @@
         self.meter = Meter()
         self.rng = rng
         self.on_applied: list[Callable[[Snapshot], None]] = []
+        self.has_heard_others = False
         self._fleet = datagrams.fleet_hash(settings.fleet)
         self._transport: asyncio.DatagramTransport | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -119,6 +121,15 @@
                 self._note(effect)
         self._log_changes()
 
+    def _log_view(self, source: str) -> None:
+        """Tell in one line what a whole view brought: joining a fleet changes all of it."""
+        changes = list(self.view.changes)
+        self.view.changes.clear()
+        if changes:
+            statuses = Counter(change.after.status.name for change in changes)
+            told = {"source": source, "changed": len(changes), **statuses}
+            log.info("view taken", extra={**told, "members": len(self.view.members_by_address)})
+
     def _log_changes(self) -> None:
         """Tell what is newly believed of other daemons and the servers beside them."""
         while self.view.changes:
@@ -183,6 +194,7 @@
         except codec.CodecError as error:
             self.fault(f"bad datagram: {error}")
             return
+        self.has_heard_others = True
         self.meter.received(_kind(received.message), len(payload))
         self._carry(node.receive(self.node, received, _moment(), self.rng))
 
@@ -287,14 +299,17 @@
         if not isinstance(answer, frames.View):
             return False
         membership.merge(self.view, answer.members, _moment().now, tell=False)
+        self.has_heard_others = True
+        self._log_view(address)
         return True
 
     async def _reconcile_once(self, address: str) -> None:
         await self.reconcile(address)
 
-    def meet(self, member: Member) -> None:
-        """Take the record of a daemon that was found, as one that has yet to answer."""
-        membership.merge(self.view, [member], _moment().now, tell=False)
+    def meet(self, found: Sequence[Member]) -> None:
+        """Take the records of daemons that were found, as ones that have yet to answer."""
+        membership.merge(self.view, found, _moment().now, tell=False)
+        self._log_view("directory")
 
     def announce_everywhere(self) -> None:
         """Tell every daemon known that this one has joined."""
--- a/hornbeamgw/daemon/directory.py
+++ b/hornbeamgw/daemon/directory.py
@@ -1,9 +1,10 @@
 """Directory: lets daemons find one another through rows of the platform, without seeds.
 
-A daemon writes one row for itself when it starts and reads the others'; from then on probes and
-gossip carry the view, so the store's rate does not bound the fleet. Writing before reading means
-that of two daemons that start together at least one sees the other. Rows never expire by
-themselves: one daemon, chosen anew each time, deletes those of daemons that ended long ago.
+A daemon reads all rows when it starts, and writes its own where the store lacks it; from then on
+probes and gossip carry the view, so the store's rate does not bound the fleet. Of two daemons that
+start together at least one must see the other: whoever finds nobody, or nobody that answers, reads
+again after its own row is there. Rows never expire by themselves: one daemon, chosen anew each
+time, deletes those of daemons that ended long ago.
 """
 
 from __future__ import annotations
@@ -12,62 +13,49 @@
 import logging
 import random
 
-import msgspec
-
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, RowStore, StoredRow
 from hornbeamgw.core import membership
-from hornbeamgw.core.membership import Member, Status
-from hornbeamgw.core.options import is_address
+from hornbeamgw.core.membership import Member, ServerState, Status
 from hornbeamgw.core.rendezvous import top
 from hornbeamgw.daemon.control import Control
+from hornbeamgw.daemon.presence import (
+    BACKOFF_MAX_S,
+    BACKOFF_S,
+    SERVER_AWAITED_S,
+    TABLE,
+    OwnRow,
+    member_of,
+)
 
 log = logging.getLogger(__name__)
 
-TABLE = "hornbeamgw-daemons"
-BACKOFF_S = 0.1
-BACKOFF_MAX_S = 1.0  # a store that is back is asked again well within 2 s
 # Several at once, for some rows are of daemons that are gone.
 PEERS_TO_JOIN = 4
+# Where the whole fleet starts for the first time, all rows are there a moment after all servers
+# have told of themselves; each daemon then reads them once and needs to tell nobody.
+FIRST_READ_AFTER_S = SERVER_AWAITED_S + 0.5
+# Probes go out once a second; a fleet of which none was heard of for so long has other rows by now.
+NOBODY_HEARD_S = 3.0
 # Once in two minutes at 950 daemons costs the one that sweeps two calls and 100 KB.
 SWEEP_EVERY_S = 120.0
 SWEEPERS = 1
 
-# What messages between daemons can carry.
-_MOST_BY_FIELD = {
-    "incarnation": (1 << 64) - 1,
-    "sequence": (1 << 32) - 1,
-    "slots": (1 << 16) - 1,
-    "version": (1 << 64) - 1,
-    "bandwidth": (1 << 64) - 1,
-    "server_started_ms": (1 << 64) - 1,
-}
-
-_encode = msgspec.json.encode
-_decoder = msgspec.json.Decoder(Member)
-
 
 def members_of(page: RowPage) -> list[Member]:
     """Return the members that rows hold; one that can't be read is left out and logged."""
     found = []
     for row in page.rows:
         try:
-            found.append(_member_of(row))
+            found.append(member_of(row))
         except ValueError as error:
             log.warning("row of a daemon unreadable", extra={"key": row.key, "error": str(error)})
     return found
 
 
-def _member_of(row: StoredRow) -> Member:
-    """Return the member in a row; raise ValueError where another writer put something else."""
-    member = _decoder.decode(row.value or b"")
-    if member.address != row.key or not is_address(member.address):
-        raise ValueError(f"address {member.address!r}, expected the row's key, as 10.0.0.7:7400")
-    for name, most in _MOST_BY_FIELD.items():
-        value = getattr(member, name)
-        if not 0 <= value <= most:
-            raise ValueError(f"{name} {value!r}, expected 0 to {most}")
-    return member
+def _without_server(member: Member) -> Member:
+    """Return a record that says where a daemon is, and nothing that may have changed since."""
+    return member._replace(service="", server_state=ServerState.NONE, slots=0, server_started_ms=0)
 
 
 def ended_rows(page: RowPage, members_by_address: dict[str, Member]) -> list[StoredRow]:
@@ -81,18 +69,36 @@
 
 
 class Directory:
-    """Own this daemon's row."""
-
-    def __init__(self, control: Control, rows: RowStore, rng: random.Random) -> None:
-        """Take the control to feed and the rows to use."""
+    """Own how this daemon joins the fleet."""
+
+    def __init__(
+        self,
+        control: Control,
+        rows: RowStore,
+        rng: random.Random,
+        own_row: OwnRow,
+        is_first_start: bool = False,
+    ) -> None:
+        """Take the control to feed, the rows, one's own, and whether the fleet is all new."""
         self.joined = asyncio.Event()
         self._control = control
         self._rows = rows
         self._rng = rng
+        self._own_row = own_row
+        self._is_first_start = is_first_start
 
     async def run(self) -> None:
         """Join, and from then on sweep when it is this daemon's turn."""
+        self._control.spawn(self._own_row.run())
+        if self._is_first_start:
+            self._own_row.found(None)
+            await asyncio.sleep(FIRST_READ_AFTER_S)
         await self._join()
+        while not self._control.has_heard_others:
+            await asyncio.sleep(NOBODY_HEARD_S * self._rng.uniform(0.8, 1.2))
+            if not self._control.has_heard_others:
+                await self._own_row.write()
+                await self._join()
         while True:
             await asyncio.sleep(SWEEP_EVERY_S * self._rng.uniform(0.8, 1.2))
             members = membership.reachable(self._control.view)
@@ -104,7 +110,7 @@
         failures = 0
         while True:
             try:
-                await self._write_and_read()
+                found = await self._read()
                 break
             except PlatformError as error:
                 failures += 1
@@ -112,21 +118,38 @@
             self.joined.set()
             ceiling = min(BACKOFF_MAX_S, BACKOFF_S * 2**failures)
             await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
+        if not found:
+            await self._own_row.write()
+            found = await self._read_again()
         self.joined.set()
+        await self._meet(found)
 
-    async def _write_and_read(self) -> None:
-        me = self._control.view.me
-        await self._rows.write(TABLE, me.address, _encode(me))
+    async def _read(self) -> list[Member]:
+        """Return the other daemons that have a row; raise PlatformError."""
+        own = self._control.view.me.address
         page = await self._rows.read(TABLE)
-        found = [m for m in members_of(page) if m.address != me.address]
+        self._own_row.found(next((row for row in page.rows if row.key == own), None))
+        found = [member for member in members_of(page) if member.address != own]
         log.info("directory read", extra={"daemons": len(found), "state": page.state})
+        return found
+
+    async def _read_again(self) -> list[Member]:
+        try:
+            return await self._read()
+        except PlatformError as error:
+            log.warning("directory not reached", extra={"error": str(error)})
+            return []
+
+    async def _meet(self, found: list[Member]) -> None:
         known = self._control.view.members_by_address
-        for member in [m for m in found if m.address not in known]:
-            self._control.meet(member)
-        self.joined.set()
+        fresh = found if self._is_first_start else [_without_server(m) for m in found]
+        self._control.meet([m for m in fresh if m.address not in known])
         others = self._rng.sample(found, min(PEERS_TO_JOIN, len(found)))
+        if self._is_first_start:
+            others = others[:1]
         await asyncio.gather(*(self._control.reconcile(m.address) for m in others))
-        self._control.announce_everywhere()
+        if not self._is_first_start:
+            self._control.announce_everywhere()
 
     async def _sweep(self) -> None:
         try:
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -42,6 +42,7 @@
     read_body,
 )
 from hornbeamgw.daemon.peers import PeerServer
+from hornbeamgw.daemon.presence import OwnRow
 from hornbeamgw.daemon.reader import Reader
 from hornbeamgw.daemon.reload import Reloader
 from hornbeamgw.daemon.servers import Servers
@@ -87,7 +88,8 @@
         source = sources.factories_by_name[settings.source](
             self.control, platform, settings.platform_poll, rng, settings.platform_adapter
         )
-        directory = _directory(settings, self.control, platform, rng)
+        own_row = None if platform.rows is None else OwnRow(platform.rows, me)
+        directory = _directory(settings, self.control, platform, rng, own_row)
         self.reader = Reader(self.control, source, rng, directory)
         self.committer = _committer(self.control, self.reader, platform, rng)
         pacer = Pacer(me.bandwidth)
@@ -119,7 +121,7 @@
         self.admin = HttpServer(admin.on_request, timeouts)
         self.metrics = HttpServer(admin.on_request, timeouts)
         self.ready = HttpServer(self._on_ready_request, timeouts)
-        self.adoption = _adoption(settings, me, platform, dialect)
+        self.adoption = _adoption(settings, own_row, dialect)
         self._taker = _taker(settings, self.gate, self._is_service, self.adoption)
         self.announcements = _announcements(settings, self._taker, timeouts)
         self._stop_signals = 0
@@ -179,7 +181,6 @@
         self.control.spawn(self.reader.poll_loop())
         self.control.spawn(self._check_loop())
         if self.adoption is not None and self._taker is not None:
-            self.control.spawn(self.adoption.run())
             self.control.spawn(self._adopt(self._taker))
         if self.settings.statsd:
             from hornbeamgw.daemon.metrics import Metrics
@@ -277,13 +278,17 @@
 
 
 def _directory(
-    settings: Settings, control: Control, platform: Platform, rng: random.Random
+    settings: Settings,
+    control: Control,
+    platform: Platform,
+    rng: random.Random,
+    own_row: OwnRow | None,
 ) -> Directory | None:
     if not settings.directory:
         return None
-    if platform.rows is None:
+    if platform.rows is None or own_row is None:
         raise ValueError(f"platform.adapter {settings.platform_adapter!r}: expected one with rows")
-    return Directory(control, platform.rows, rng)
+    return Directory(control, platform.rows, rng, own_row, settings.first_start)
 
 
 def _committer(
@@ -294,12 +299,10 @@
     return Committer(control, reader, platform, rng)
 
 
-def _adoption(
-    settings: Settings, me: Member, platform: Platform, dialect: Dialect
-) -> Adoption | None:
-    if not settings.directory or platform.rows is None or not dialect.instance:
+def _adoption(settings: Settings, own_row: OwnRow | None, dialect: Dialect) -> Adoption | None:
+    if not settings.directory or own_row is None or not dialect.instance:
         return None
-    return Adoption(platform.rows, me.address, dialect.instance)
+    return Adoption(own_row, dialect.instance)
 
 
 def _taker(
--- /dev/null
+++ b/hornbeamgw/daemon/presence.py
@@ -0,0 +1,155 @@
+"""Presence: the row by which a daemon is found, with what the server beside it last said.
+
+One row holds both, so that whoever reads the directory at its start finds its own server in it, and
+a daemon that restarts where nothing changed writes nothing at all: a store that all daemons of a
+fleet share is asked once for each start.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import NamedTuple
+
+import msgspec
+
+from hornbeamgw.backends.base import PlatformError
+from hornbeamgw.backends.rows import RowStore, StoredRow
+from hornbeamgw.core.membership import Member, ServerState
+from hornbeamgw.core.options import is_address
+from hornbeamgw.core.registration import Announcement
+
+log = logging.getLogger(__name__)
+
+TABLE = "hornbeamgw-daemons"
+# A server tells of itself every 1.5 s; waiting for the first time saves a write for each newcomer,
+# and nobody misses a daemon that has no server yet.
+SERVER_AWAITED_S = 2.0
+BACKOFF_S = 0.1
+BACKOFF_MAX_S = 1.0  # a store that is back is asked again well within 2 s
+MOST_SLOTS = 0xFFFF  # what a member's record carries
+
+# What messages between daemons can carry.
+_MOST_BY_FIELD = {
+    "incarnation": (1 << 64) - 1,
+    "sequence": (1 << 32) - 1,
+    "slots": MOST_SLOTS,
+    "version": (1 << 64) - 1,
+    "bandwidth": (1 << 64) - 1,
+    "server_started_ms": (1 << 64) - 1,
+}
+
+
+class Presence(NamedTuple):
+    """Hold a daemon's record and what its server said last, None where that does not serve."""
+
+    member: Member
+    server: Announcement | None = None
+
+
+_encode = msgspec.json.encode
+_decoder = msgspec.json.Decoder(tuple[Member, msgspec.Raw])
+_server_decoder = msgspec.json.Decoder(Announcement | None)
+
+
+def member_of(row: StoredRow) -> Member:
+    """Return the member in a row; raise ValueError where another writer put something else."""
+    member, _ = _decoder.decode(row.value or b"")
+    if member.address != row.key or not is_address(member.address):
+        raise ValueError(f"address {member.address!r}, expected the row's key, as 10.0.0.7:7400")
+    for name, most in _MOST_BY_FIELD.items():
+        value = getattr(member, name)
+        if not 0 <= value <= most:
+            raise ValueError(f"{name} {value!r}, expected 0 to {most}")
+    return member
+
+
+def server_of(row: StoredRow) -> Announcement | None:
+    """Return the server in a row; raise ValueError where another writer put something else."""
+    _, raw = _decoder.decode(row.value or b"")
+    known = _server_decoder.decode(raw)
+    if known is None:
+        return None
+    if not is_address(known.address):
+        raise ValueError(f"address {known.address!r}, expected an IP number and a port")
+    if not 1 <= known.slots <= MOST_SLOTS:
+        raise ValueError(f"slots {known.slots!r}, expected 1 to {MOST_SLOTS}")
+    return known
+
+
+def _place_of(member: Member) -> tuple[str, str, int]:
+    """Return what of a record another daemon can't learn anew from one that restarted."""
+    return member.data_centre, member.region, member.bandwidth
+
+
+class OwnRow:
+    """Own this daemon's row."""
+
+    def __init__(self, rows: RowStore, me: Member) -> None:
+        """Take the rows and the record to be found by."""
+        self._rows = rows
+        self._me = me
+        self._server: Announcement | None = None
+        self._stored: Presence | None = None
+        self._looked_up = asyncio.Event()
+        self._changed = asyncio.Event()
+
+    def found(self, row: StoredRow | None) -> None:
+        """Take what the store holds, as the directory was read; None where it has no row."""
+        if self._stored is None and row is not None:
+            self._stored = _presence_of(row)
+        self._looked_up.set()
+
+    async def last_known(self) -> Announcement | None:
+        """Return what the server said before this daemon's start, or None."""
+        await self._looked_up.wait()
+        return None if self._stored is None else self._stored.server
+
+    def note(self, announcement: Announcement | None) -> None:
+        """Take what the server says of itself; None or a server that leaves is not kept."""
+        if announcement is not None and announcement.state is not ServerState.SERVING:
+            announcement = None
+        self._server = announcement and announcement._replace(expires_at=0.0, warm_at=0.0)
+        self._changed.set()
+
+    def _is_stored(self) -> bool:
+        stored = self._stored
+        if stored is None or _place_of(stored.member) != _place_of(self._me):
+            return False
+        return stored.server == self._server
+
+    async def run(self) -> None:
+        """Keep the row up to date, once the server had time to tell of itself."""
+        await self._looked_up.wait()
+        try:
+            async with asyncio.timeout(SERVER_AWAITED_S):
+                await self._changed.wait()
+        except TimeoutError:
+            # The row of before may hold a server that has yet to be asked whether it still lives.
+            if self._stored is not None and _place_of(self._stored.member) == _place_of(self._me):
+                await self._changed.wait()
+        while True:
+            self._changed.clear()
+            await self.write()
+            await self._changed.wait()
+
+    async def write(self) -> None:
+        """Write the row where the store holds another, until the store has taken it."""
+        failures = 0
+        while not self._is_stored():
+            wanted = Presence(self._me, self._server)
+            try:
+                await self._rows.write(TABLE, self._me.address, _encode(wanted))
+                self._stored = wanted
+            except PlatformError as error:
+                failures += 1
+                log.info("own row not written", extra={"error": str(error), "try": failures})
+                await asyncio.sleep(min(BACKOFF_MAX_S, BACKOFF_S * 2**failures))
+
+
+def _presence_of(row: StoredRow) -> Presence | None:
+    try:
+        return Presence(member_of(row), server_of(row))
+    except ValueError as error:
+        log.warning("own row unreadable", extra={"key": row.key, "error": str(error)})
+        return None
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -28,6 +28,7 @@
 POLL_BACKOFF_S = 0.05
 POLL_BACKOFF_MAX_S = 0.8  # a store that is back is read again well within a second
 FLOOR_BACKOFF_S = 0.25
+FLOOR_AWAITED_S = 0.02
 FLOOR_BACKOFF_MAX_S = 4.0
 OWN_READ_EVERY = 3
 RECONCILE_EVERY_S = 300.0
@@ -70,6 +71,7 @@
         self._read_begun = False
         self._last_read_at = -1e9
         self._join_tried = asyncio.Event()
+        self._floor_tries = 0
 
     @property
     def reads(self) -> int:
@@ -105,7 +107,14 @@
         return await self._source.catch_up(head)
 
     async def poll_loop(self) -> None:
-        """Follow the source while this daemon is a reader of its data centre."""
+        """Follow the source while this daemon is a reader of its data centre.
+
+        Not before the fleet is known and the floor has been looked for: a daemon that takes itself
+        for alone would read what the readers of its data centre bring anyway.
+        """
+        await self._join_tried.wait()
+        while self._floor_tries == 0 and self._control.versions.floor is None:
+            await asyncio.sleep(FLOOR_AWAITED_S)
         failures = 0
         while True:
             if not self._reads_now():
@@ -181,6 +190,7 @@
             failures += 1
             if self._control.versions.floor is None:
                 await self._find_floor(failures)
+            self._floor_tries = failures
             if self._control.versions.floor is not None:
                 await self._reach_floor()
         self.waiting_for = ""
--- a/hornbeamgw/testing/store.py
+++ b/hornbeamgw/testing/store.py
@@ -5,7 +5,7 @@
 import asyncio
 import base64
 import time
-from collections import deque
+from collections import Counter, deque
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
@@ -85,6 +85,8 @@
         self.fault = ""
         self.write_faults: deque[str] = deque()
         self.calls = 0
+        # By the call's last word and the table that it names, "" where it names none.
+        self.calls_by_place: Counter[tuple[str, str]] = Counter()
         self.calls_per_s = 0
         self.objects_by_name: dict[str, bytes] = {}
         self._answered_at: deque[float] = deque()
@@ -137,7 +139,7 @@
     ) -> None:
         """Answer a call, as a fault of some VMs or of all lets it."""
         body = await read_body(connection, BODY_LIMIT)
-        self.calls += 1
+        self._count(request.target.decode())
         fault = fault or self.fault or (BUSY if self._is_over_rate() else "")
         if await _fail(connection, fault):
             return
@@ -159,6 +161,12 @@
         else:
             _answer(connection, 404, {"error": url.path})
 
+    def _count(self, target: str) -> None:
+        url = urlsplit(target)
+        table = parse_qs(url.query).get("table", [""])[0]
+        self.calls += 1
+        self.calls_by_place[url.path.rpartition("/")[2], table] += 1
+
     def _is_over_rate(self) -> bool:
         now = time.monotonic()
         while self._answered_at and now - self._answered_at[0] > RATE_WINDOW_S:
