--- a/features/outside.feature
+++ b/features/outside.feature
@@ -110,6 +110,18 @@
     And the operator writes version 15 with one more route
     Then the last one has version 15 in force within 2 seconds
 
+  Scenario: Eight of a larger fleet watch the row, and one that hears of nobody watches it too
+    Given seven more daemons start
+    Then eight of them are readers
+    When one that is no reader hears of nobody any more
+    And the operator writes version 17 with one more route
+    Then all of them have version 17 in force within 2 seconds
+
+  Scenario: The two whose turn it is to push a version are cut off from the store
+    Given seven more daemons start
+    When the store turns those away that would push version 18, and the operator writes it
+    Then all of them have version 18 in force within 2 seconds
+
   Scenario: A version never goes back
     When the operator writes version 9 with one more route
     And all of them have version 9 in force
--- a/features/spreading.feature
+++ b/features/spreading.feature
@@ -42,7 +42,16 @@
     Then those 2 are its readers
     And while links are not known 2 members are its readers
 
-  Scenario: Where all read a version by themselves, two push it to those who can't, by turns
-    Given 10 members that all watch the operators' row
-    Then each of 60 versions is pushed by 2 of them
+  Scenario Outline: Of the readers of a row that operators write, two push a version, by turns
+    Given <members> members in <places> data centres that read the operators' row
+    Then <readers> of them are readers
+    And each of 60 versions is pushed by 2 of them, readers both
     And none of them pushes more than a third of the versions
+
+    Examples:
+      | members | places | readers |
+      | 10      | 4      | 8       |
+      | 10      | 1      | 8       |
+      | 11      | 3      | 9       |
+      | 195     | 5      | 10      |
+      | 950     | 9      | 18      |
--- a/features/steps/outside.py
+++ b/features/steps/outside.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from hornbeamgw.core.membership import Status
+from hornbeamgw.core.rendezvous import READERS_IN_ALL, is_pusher
 from hornbeamgw.daemon import plugins
 from hornbeamgw.daemon.directory import TABLE
 from hornbeamgw.testing.local import LocalFleet, wait_for
@@ -53,11 +54,15 @@
         await wait_for(lambda m=members: len(m) == len(context.living))
 
 
+def versions_of(context):
+    return [daemon.control.versions.snapshot.version for daemon in context.living]
+
+
 async def in_force(context, number, seconds=10.0):
-    async with asyncio.timeout(seconds):
-        for daemon in context.living:
-            while daemon.control.versions.snapshot.version != number:
-                await asyncio.sleep(CHECK_S)
+    until = asyncio.get_running_loop().time() + seconds
+    while set(versions_of(context)) != {number}:
+        assert asyncio.get_running_loop().time() < until, versions_of(context)
+        await asyncio.sleep(CHECK_S)
 
 
 @given("the store holds version 3, and three daemons start without seeds")
@@ -233,6 +238,55 @@
     context.runner.run(begin())
 
 
+@given("seven more daemons start")
+def seven_more(context):
+    async def begin():
+        for _ in range(7):
+            context.own_address = await context.store.start()
+            daemon = await start_daemon(context, store_address=context.own_address)
+            context.store_address_by_daemon[daemon] = context.own_address
+            context.living.append(daemon)
+        await in_force(context, 3)
+        await known_to_all(context)
+
+    context.store_address_by_daemon = {}
+    context.runner.run(begin())
+
+
+def is_reader_of(daemon):
+    return daemon.reader.describe()["is_reader"]
+
+
+@then("eight of them are readers")
+def eight_read(context):
+    assert sum(map(is_reader_of, context.living)) == 8
+
+
+@when("one that is no reader hears of nobody any more")
+def deaf(context):
+    async def cut():
+        context.deaf = next(d for d in context.living if not is_reader_of(d))
+        context.deaf.control._transport.close()
+        await asyncio.sleep(0.1)
+
+    context.runner.run(cut())
+
+
+@when("the store turns those away that would push version {number:d}, and the operator writes it")
+def pushers_away(context, number):
+    members = [daemon.control.view.me for daemon in context.living]
+    pushers = [
+        daemon
+        for daemon in context.living
+        if is_pusher(daemon.control.view.me, members, number, READERS_IN_ALL)
+    ]
+    assert len(pushers) == 2
+    for daemon in pushers:
+        if daemon in context.store_address_by_daemon:
+            context.store.fail_at(context.store_address_by_daemon[daemon], "outage")
+    context.runner.run(write(context, version_of(number, routes=2)))
+
+
 def counted(context, what):
     """Return how often the store was asked so since the count began."""
     return context.store.calls_by_place[what] - context.counted[what]
--- a/features/steps/spreading.py
+++ b/features/steps/spreading.py
@@ -204,18 +204,37 @@
     )
 
 
-@given("{count:d} members that all watch the operators' row")
-def watchers(context, count):
-    context.members = [Member(f"10.0.0.{i}:7400", f"dc-{i % 4}", "r", 1) for i in range(count)]
+@given("{count:d} members in {places:d} data centres that read the operators' row")
+def watchers(context, count, places):
+    context.members = [
+        Member(f"10.0.{i // 250}.{i % 250}:7400", f"dc-{i % places}", "r", 1) for i in range(count)
+    ]
+
+
+def reads(member, members):
+    return rendezvous.is_reader(member, members, rendezvous.READERS_IN_ALL)
+
+
+@then("{count:d} of them are readers")
+def read_count(context, count):
+    context.readers = {m.address for m in context.members if reads(m, context.members)}
+    assert len(context.readers) == count, context.readers
+
+
+def pushes(member, members, version):
+    return rendezvous.is_pusher(member, members, version, rendezvous.READERS_IN_ALL)
 
 
-@then("each of {versions:d} versions is pushed by {count:d} of them")
+@then("each of {versions:d} versions is pushed by {count:d} of them, readers both")
 def pushed_by(context, versions, count):
+    readers = [m for m in context.members if m.address in context.readers]
     context.pushers = [
-        [m.address for m in context.members if rendezvous.is_pusher(m, context.members, version)]
+        [m.address for m in readers if pushes(m, context.members, version)]
         for version in range(versions)
     ]
     assert {len(pushers) for pushers in context.pushers} == {count}
+    others = [m for m in context.members if m.address not in context.readers][:20]
+    assert not any(pushes(m, context.members, version) for m in others for version in range(9))
 
 
 @then("none of them pushes more than a third of the versions")
--- a/hornbeamgw/core/node.py
+++ b/hornbeamgw/core/node.py
@@ -133,6 +133,7 @@
         self.pulls = PullState()
         self.sent_by_address: dict[str, _Sent] = {}
         self.hints: list[_Hint] = []
+        self.pushed_version = 0  # the highest that another daemon pushed here
         self.covered: set[tuple[int, Scope, str, str]] = set()
 
 
@@ -254,6 +255,7 @@
 
 def _on_push(node: Node, sender: str, message: Push, moment: Moment) -> list[Effect]:
     known = node.versions.catalogue.version
+    node.pushed_version = max(node.pushed_version, message.version)
     if message.version <= known:
         return [Duplicate(sender), _send(node, sender, Have()), *_cover(node, message, moment)]
     delta = versions.unpack_delta(message.delta) if message.parent == known else b""
--- a/hornbeamgw/core/rendezvous.py
+++ b/hornbeamgw/core/rendezvous.py
@@ -11,8 +11,11 @@
 # A reader moves whole versions of 100 KB and more; on a link of 3 Mbit/s one takes a quarter of a
 # second, on one of 50 Mbit/s 16 ms, so those under this part of the widest link do not read.
 READER_LINK_PART = 0.5
-# Where all watch the row, this many push a version; ten pushed each of 60 versions of a day to
-# three other data centres, 1.7 KB a push. Who misses both pulls by the next probe that it hears.
+# So many read in a fleet of few data centres: a herd that takes half of a fleet at once leaves none
+# of them in one case of 256, and a version is due seconds before others have noticed.
+READERS_IN_ALL = 8
+# So many readers push a version, taking turns; ten that pushed each of 60 versions of a day sent
+# each daemon most of them ten times, 1.7 KB a push. The others push what nobody pushed to them.
 PUSHERS = 2
 
 
@@ -31,13 +34,26 @@
     return [member for member in members if member.bandwidth >= READER_LINK_PART * widest]
 
 
-def is_pusher(me: Member, members: Iterable[Member], version: int) -> bool:
-    """Return whether a member pushes a version that all members read by themselves."""
-    return any(m.address == me.address for m in top(f"push {version}", members, PUSHERS))
+def _readers_of(data_centre: str, members: Sequence[Member], count: int) -> list[Member]:
+    local = [m for m in members if m.data_centre == data_centre]
+    return top("reader", _with_wide_links(local), count)
 
 
-def is_reader(me: Member, members: Iterable[Member]) -> bool:
+def _count_of(members: Sequence[Member], in_all: int) -> int:
+    """Return how many members of each data centre read, so that there are enough in all."""
+    data_centres = len({m.data_centre for m in members}) or 1
+    return max(READERS_PER_DATA_CENTRE, -(-in_all // data_centres))
+
+
+def is_reader(me: Member, members: Sequence[Member], in_all: int = 0) -> bool:
     """Return whether a member polls the platform for its data centre."""
-    local = [m for m in members if m.data_centre == me.data_centre]
-    chosen = top("reader", _with_wide_links(local), READERS_PER_DATA_CENTRE)
+    chosen = _readers_of(me.data_centre, members, _count_of(members, in_all))
     return any(m.address == me.address for m in chosen)
+
+
+def is_pusher(me: Member, members: Sequence[Member], version: int, in_all: int = 0) -> bool:
+    """Return whether a reader is one of those that push a version, by turns."""
+    count = _count_of(members, in_all)
+    data_centres = sorted({m.data_centre for m in members})
+    readers = [m for name in data_centres for m in _readers_of(name, members, count)]
+    return any(m.address == me.address for m in top(f"push {version}", readers, PUSHERS))
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -58,6 +58,7 @@
         self.rng = rng
         self.on_applied: list[Callable[[Snapshot], None]] = []
         self.has_heard_others = False
+        self.heard_at = 0.0  # when another daemon was heard of last, by the loop's clock
         self._fleet = datagrams.fleet_hash(settings.fleet)
         self._transport: asyncio.DatagramTransport | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -77,6 +78,7 @@
     async def start(self, address: str) -> None:
         """Bind the UDP socket and begin to probe; raise OSError."""
         loop = asyncio.get_running_loop()
+        self.heard_at = loop.time()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Udp(self._on_datagram), local_addr=split_address(address)
         )
@@ -194,10 +196,14 @@
         except codec.CodecError as error:
             self.fault(f"bad datagram: {error}")
             return
-        self.has_heard_others = True
+        self._note_heard()
         self.meter.received(_kind(received.message), len(payload))
         self._carry(node.receive(self.node, received, _moment(), self.rng))
 
+    def _note_heard(self) -> None:
+        self.has_heard_others = True
+        self.heard_at = asyncio.get_running_loop().time()
+
     def _check(self) -> None:
         self._carry(node.check(self.node, _moment(), self.rng))
 
@@ -299,7 +305,7 @@
         if not isinstance(answer, frames.View):
             return False
         membership.merge(self.view, answer.members, _moment().now, tell=False)
-        self.has_heard_others = True
+        self._note_heard()
         self._log_view(address)
         return True
 
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -11,7 +11,13 @@
 from hornbeamgw.core import floor, membership, versions
 from hornbeamgw.core.floor import FloorAnswer
 from hornbeamgw.core.membership import Member, Status
-from hornbeamgw.core.rendezvous import READERS_PER_DATA_CENTRE, is_pusher, is_reader, top
+from hornbeamgw.core.rendezvous import (
+    READERS_IN_ALL,
+    READERS_PER_DATA_CENTRE,
+    is_pusher,
+    is_reader,
+    top,
+)
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.control import Control
 from hornbeamgw.daemon.directory import Directory
@@ -21,10 +27,13 @@
 log = logging.getLogger(__name__)
 
 READ_SPACING_S = 0.2
-READER_CHECK_EVERY_S = 0.5
-# In a fleet this small all readers may be killed at once, and it takes 4 s until others take their
-# place, while a version is due after 2 s; 24 watches cost the store 16 calls a second.
-SMALL_FLEET = 24
+READER_CHECK_EVERY_S = 0.25
+# A daemon sends a probe and is sent one each second, and their answers; one that hears nothing for
+# so long may be cut off from its readers while the platform still answers it.
+UNHEARD_S = 1.2
+# A push reaches 950 daemons in six hops of some 30 ms; a reader that has heard of none by then
+# takes those that should have pushed for dead or cut off.
+PUSH_AWAITED_S = 0.4
 POLL_BACKOFF_S = 0.05
 POLL_BACKOFF_MAX_S = 0.8  # a store that is back is read again well within a second
 FLOOR_BACKOFF_S = 0.25
@@ -122,10 +131,12 @@
                 continue
             try:
                 head = await self._source.wait_change()
-                if not self._reads_now():
+                if head is None and not self._reads_now():
                     continue
-                if await self.catch_up(head or await self.fresh_head()) and self._pushes():
-                    self._control.push()
+                # A version that was read is taken also where another reads by now: the source has
+                # moved past it and will not tell of it again.
+                if await self.catch_up(head or await self.fresh_head()):
+                    self._control.spawn(self._push())
                 failures = 0
                 self._note_reached()
             except PlatformError as error:
@@ -134,24 +145,29 @@
                 ceiling = min(POLL_BACKOFF_MAX_S, POLL_BACKOFF_S * 2**failures)
                 await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
 
-    def _all_watch(self) -> bool:
-        members = membership.reachable(self._control.view)
-        return self._source.is_whole and len(members) <= SMALL_FLEET
+    def _in_all(self) -> int:
+        return READERS_IN_ALL if self._source.is_whole else 0
 
-    def _pushes(self) -> bool:
-        """Return whether to push what was read; where all watch, it serves those cut off alone."""
-        if not self._all_watch():
-            return True
-        members = membership.reachable(self._control.view)
+    def _living(self) -> list[Member]:
+        """Return the members that nobody doubts: the next in line reads for one that is silent."""
+        members = self._control.view.members_by_address.values()
+        return [member for member in members if member.status is Status.ALIVE]
+
+    async def _push(self) -> None:
+        """Push what was read, unless another reader's push of it comes first."""
+        members, me = self._living(), self._control.view.me
         version = self._control.versions.catalogue.version
-        return is_pusher(self._control.view.me, members, version)
+        if self._source.is_whole and not is_pusher(me, members, version, self._in_all()):
+            await asyncio.sleep(PUSH_AWAITED_S)
+            if self._control.node.pushed_version >= version:
+                return
+        self._control.push()
 
     def _reads_now(self) -> bool:
-        members = membership.reachable(self._control.view)
-        everyone = self._control.node.spread.everyone_reads
-        if self._all_watch():
+        heard_ago = asyncio.get_running_loop().time() - self._control.heard_at
+        if self._control.node.spread.everyone_reads or heard_ago > UNHEARD_S:
             return True
-        return everyone or is_reader(self._control.view.me, members)
+        return is_reader(self._control.view.me, self._living(), self._in_all())
 
     def _note_lost(self, error: PlatformError) -> None:
         if not self._is_lost:
@@ -326,10 +342,9 @@
 
     def describe(self) -> dict[str, Any]:
         """Return what this daemon waits for and how it reads."""
-        me, members = self._control.view.me, membership.reachable(self._control.view)
         return {
             "waiting_for": self.waiting_for or _unready_reason(self._control),
-            "is_reader": is_reader(me, members),
+            "is_reader": is_reader(self._control.view.me, self._living(), self._in_all()),
             "platform_reads": self.reads,
             "platform_errors": self.errors,
         }
--- a/hornbeamgw/daemon/sources.py
+++ b/hornbeamgw/daemon/sources.py
@@ -26,8 +26,8 @@
 
 MAX_DELTA_READS = 16
 PLATFORM = "platform"
-# A watch ends soon enough that a silent connection to the store is noticed before a version
-# that came meanwhile is due (2 s); one call in 1.5 s is under 1% of the reads a store allows.
+# A watch ends soon enough that a silent connection to the store is noticed before a version that
+# came meanwhile is due (2 s); several readers share the risk, and each call costs its price.
 WATCH_WAIT_S = 1.5
 
 
