--- a/hornbeamgw/daemon/servers.py
+++ b/hornbeamgw/daemon/servers.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Sequence
 
-from hornbeamgw.core import balancing, crossing, placement, sampling
+from hornbeamgw.core import balancing, crossing, placement, sampling, subsetting
 from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.placement import PlacementState, RouteTraits
@@ -31,7 +31,7 @@
         self._placement = PlacementState()
         self._loads_by_address: dict[str, tuple[int, Load]] = {}
         self._serving_at = -1
-        self._serving_by_service: dict[str, list[Member]] = {}
+        self._candidates_by_service: dict[str, list[Candidate]] = {}
 
     def traits_of(self, call: Call) -> RouteTraits:
         """Return what answers of a call's route are like."""
@@ -43,14 +43,17 @@
         return any(c.member.address not in call.tried for c in candidates)
 
     def _candidates(self, view: View, service: str, now: float) -> list[Candidate]:
+        """Return the servers that a call may go to, found anew only where the view has changed."""
         if view.generation != self._serving_at:
             self._serving_at = view.generation
-            self._serving_by_service.clear()
-        members = self._serving_by_service.get(service)
-        if members is None:
-            members = balancing.serving(view.members, service)
-            self._serving_by_service[service] = members
-        return [Candidate(m, self._load(m, now)) for m in members]
+            self._candidates_by_service.clear()
+        candidates = self._candidates_by_service.get(service)
+        if candidates is None:
+            serving = balancing.serving(view.members, service)
+            known = subsetting.known_servers(view.me, serving)
+            candidates = [Candidate(member, self._load(member, now)) for member in known]
+            self._candidates_by_service[service] = candidates
+        return candidates
 
     def _load(self, member: Member, now: float) -> Load:
         """Return what was seen of the server there; another run of it starts anew."""
--- a/hornbeamgw/testing/simulated.py
+++ b/hornbeamgw/testing/simulated.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from hornbeamgw.core import admission, balancing, placement, sampling
+from hornbeamgw.core import admission, balancing, placement, sampling, subsetting
 from hornbeamgw.core.admission import (
     AdmissionState,
     Admitted,
@@ -27,9 +27,9 @@
 SPREAD = 0.5  # of the logarithm of work, as on the users' sheets
 TRIES = 3
 ANSWER_BYTES = 1500
-ME = Member("me", "dc-0", "region", 1)
 FOREVER = 1e9
 ASKING = "asking"  # the way to choose that asks some gates first
+ASKING_SOME = "asking_some"  # the same among the servers that a daemon deals with
 
 
 class Kind(NamedTuple):
@@ -101,17 +101,36 @@
     """Hold servers of one service, their speeds, and daemons that place requests on them."""
 
     def __init__(
-        self, speeds: Sequence[float], slots: int, queueing: str, chooser: str, daemons: int
+        self,
+        speeds: Sequence[float],
+        slots: int,
+        queueing: str,
+        chooser: str,
+        daemons: int,
+        data_centres: int = 0,
     ) -> None:
-        """Take the speeds of the servers, their slots, and the names of both policies."""
+        """Take the speeds of the servers, their slots, and the names of both policies.
+
+        Daemons are spread over as many data centres as servers; with 0, servers lie in three and
+        all daemons in the first.
+        """
         self.outcome = Outcome()
         self._speeds = speeds
         self._states = [new_server(queueing, slots) for _ in speeds]
         self._members = [
-            Member(f"s{i}", f"dc-{i % 3}", "region", 1, service=SERVICE, slots=slots)
+            Member(
+                f"s{i}", f"dc-{i % (data_centres or 3)}", "region", 1, service=SERVICE, slots=slots
+            )
             for i in range(len(speeds))
         ]
-        self._asks = chooser == ASKING
+        self._daemons = [
+            Member(f"daemon-{i}", f"dc-{i % (data_centres or 1)}", "region", 1)
+            for i in range(daemons)
+        ]
+        self._index_by_address = {m.address: i for i, m in enumerate(self._members)}
+        self._asks = chooser in (ASKING, ASKING_SOME)
+        self._far = subsetting.FAR_KEPT if chooser == ASKING_SOME else len(speeds)
+        self._known_by_daemon: dict[int, list[Member]] = {}
         self._choose = balancing.chooser_of("expected_finish" if self._asks else chooser)
         self._loads = [[Load(0.0) for _ in speeds] for _ in range(daemons)]
         self._traits: list[dict[str, RouteTraits]] = [{} for _ in range(daemons)]
@@ -133,10 +152,11 @@
         traits = self._traits[daemon].setdefault(kind.name, RouteTraits(kind.aim))
         tried: list[str] = []
         for attempt_number in range(number, number + TRIES):
-            loads = self._loads[daemon]
-            pairs = zip(self._members, loads, strict=True)
-            candidates = [Candidate(member, load) for member, load in pairs]
-            choice = Choice(ME, candidates, tried, traits, kind.aim, now)
+            candidates = [
+                Candidate(member, self._loads[daemon][self._index_by_address[member.address]])
+                for member in self._known(daemon)
+            ]
+            choice = Choice(self._daemons[daemon], candidates, tried, traits, kind.aim, now)
             chosen = (
                 self._choose_by_asking(choice, arrival, daemon, rng)
                 if self._asks
@@ -146,9 +166,16 @@
                 return
             tried.append(chosen.member.address)
             attempt = AttemptId("a", daemon, attempt_number)
-            if self._try(self._members.index(chosen.member), daemon, attempt, arrival):
+            if self._try(self._index_by_address[chosen.member.address], daemon, attempt, arrival):
                 return
 
+    def _known(self, daemon: int) -> list[Member]:
+        known = self._known_by_daemon.get(daemon)
+        if known is None:
+            known = subsetting.known_servers(self._daemons[daemon], self._members, self._far)
+            self._known_by_daemon[daemon] = known
+        return known
+
     def _choose_by_asking(
         self, choice: Choice, arrival: Arrival, daemon: int, rng: random.Random
     ) -> Candidate | None:
@@ -157,7 +184,7 @@
         request = _request(AttemptId("asked", daemon, 0), arrival)
         for is_near in (True, False):
             for candidate in sampling.sample(choice, is_near, rng):
-                server = self._members.index(candidate.member)
+                server = self._index_by_address[candidate.member.address]
                 state = self._states[server]
                 self._report(server, daemon, arrival.at)
                 if admission.outlook(state, request, SERVICE, arrival.at).takes:
