--- a/features/spreading.feature
+++ b/features/spreading.feature
@@ -55,3 +55,13 @@
       | 11      | 3      | 9       |
       | 195     | 5      | 10      |
       | 950     | 9      | 18      |
+
+  Scenario Outline: While daemons restart one after another whole views are compared at most so often
+    Given a member of a fleet of <size> whose view differs from each that it hears of
+    Then in 60 seconds of 4 messages each it compares whole views at most <most> times, and does
+
+    Examples:
+      | size | most |
+      | 13   | 30   |
+      | 195  | 11   |
+      | 950  | 3    |
--- a/features/steps/adoption.py
+++ b/features/steps/adoption.py
@@ -210,8 +210,9 @@
     assert least <= len(told) <= most, len(told)
     assert context.near <= told, context.near - told
     for effect in sent:
-        states = {m.address: m.server_state for m in effect.envelope.gossip}
-        assert states[context.node.view.me.address] is ServerState.SERVING, states
+        (word,) = effect.envelope.gossip
+        assert word.address == context.node.view.me.address, word
+        assert word.server_state is ServerState.SERVING, word
 
 
 @when("it leaves, and time passes")
--- a/features/steps/spreading.py
+++ b/features/steps/spreading.py
@@ -241,3 +241,21 @@
 def by_turns(context):
     counts = Counter(address for pushers in context.pushers for address in pushers)
     assert max(counts.values()) <= len(context.pushers) / 3, counts
+
+
+@given("a member of a fleet of {size:d} whose view differs from each that it hears of")
+def differing(context, size):
+    members = [Member(f"n{index:03d}", "dc", "r", 1) for index in range(size)]
+    context.view = membership.MembershipState(members[0], Timing())
+    membership.merge(context.view, members, 0.0, tell=False)
+
+
+@then(
+    "in {seconds:d} seconds of {rate:d} messages each it compares whole views "
+    "at most {most:d} times, and does"
+)
+def compares(context, seconds, rate, most):
+    other = context.view.view_hash + 1
+    times = [number / rate for number in range(1, seconds * rate + 1)]
+    compared = sum(membership.should_reconcile(context.view, other, now) for now in times)
+    assert 1 <= compared <= most, compared
--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -105,6 +105,9 @@
 MISMATCHES_TO_RECONCILE = 6
 MISMATCH_WEIGHT_WHEN_QUIET = 2
 RECONCILE_SPACING_S = 2.0
+# While daemons restart one after another views always differ somewhere. A whole view takes both
+# sides 6 ms at 195 members; so spaced, comparing them stays under 0.1% of a core at any size.
+RECONCILE_SPACING_PER_MEMBER_S = 0.03
 KEPT_CHANGES = 256
 # Status, service, state of the server and its slots: what calls are decided by.
 CHANGE_FIELDS = slice(5, 9)
@@ -230,7 +233,10 @@
         state.mismatches = 0
         return False
     state.mismatches += 1 if state.gossip_left_by_address else MISMATCH_WEIGHT_WHEN_QUIET
-    waited = now - state.reconciled_at >= RECONCILE_SPACING_S
+    spacing = max(
+        RECONCILE_SPACING_S, RECONCILE_SPACING_PER_MEMBER_S * len(state.members_by_address)
+    )
+    waited = now - state.reconciled_at >= spacing
     if state.mismatches < MISMATCHES_TO_RECONCILE or not waited:
         return False
     state.mismatches = 0
--- a/hornbeamgw/core/node.py
+++ b/hornbeamgw/core/node.py
@@ -137,11 +137,14 @@
         self.covered: set[tuple[int, Scope, str, str]] = set()
 
 
-def envelope(node: Node, to: str, message: Message, with_me: bool = False) -> Envelope:
+def envelope(
+    node: Node, to: str, message: Message, with_me: bool = False, with_gossip: bool = True
+) -> Envelope:
     """Return a message with one's version, the hash of one's view, and some gossip."""
     known = node.versions.catalogue
     with_me = with_me or node.view.me.status is Status.LEFT
-    gossip = [] if isinstance(message, Push) else membership.gossip_for(node.view, to, with_me)
+    is_bare = isinstance(message, Push) or not with_gossip
+    gossip = [] if is_bare else membership.gossip_for(node.view, to, with_me)
     return Envelope(
         node.view.me.address,
         known.version,
@@ -152,6 +155,16 @@
     )
 
 
+def _word_of_me(node: Node, to: str) -> Send:
+    """Return one's own record for a member, alone: it goes to many at once.
+
+    With the nine records of others that a probe carries it takes sender and receiver three times
+    as much work, and a restart is told to 160 members of a fleet of 195.
+    """
+    bare = envelope(node, to, Have(), with_gossip=False)
+    return Send(to, bare._replace(gossip=[node.view.me]))
+
+
 def _send(node: Node, to: str, message: Message) -> Send:
     return Send(to, envelope(node, to, message))
 
@@ -360,8 +373,7 @@
     if len(others) <= TELL_ALL_MOST:
         return announce(node, everywhere=True)
     chosen = rng.sample(others, URGENT_TARGETS)
-    elsewhere = [Send(a, envelope(node, a, Have(), with_me=True)) for a in chosen]
-    return announce(node) + elsewhere
+    return announce(node) + [_word_of_me(node, address) for address in chosen]
 
 
 def announce(node: Node, everywhere: bool = False) -> list[Effect]:
@@ -371,7 +383,7 @@
         m for m in membership.reachable(node.view) if everywhere or m.data_centre == me.data_centre
     ]
     others = [m.address for m in told if m.address != me.address][:ANNOUNCE_MOST]
-    return [Send(address, envelope(node, address, Have(), with_me=True)) for address in others]
+    return [_word_of_me(node, address) for address in others]
 
 
 def leave(node: Node, moment: Moment, rng: random.Random) -> list[Effect]:
