--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,7 @@
 import asyncio
 import sys
 
-from benchmarks import control, crossing, data, faults, overload, policies  # noqa: F401
+from benchmarks import control, crossing, data, faults, overload, policies, start  # noqa: F401
 from benchmarks.report import benchmarks_by_name
 
 
--- /dev/null
+++ b/benchmarks/start.py
@@ -0,0 +1,92 @@
+"""Benchmarks of what a daemon's start and a version cost: processor time by part."""
+
+from __future__ import annotations
+
+import resource
+import subprocess
+import sys
+import time
+
+from benchmarks.report import emit, register
+from hornbeamgw.core.catalogue import Item, digest_of
+from hornbeamgw.core.snapshot import EMPTY, Snapshot, build
+
+RUNS = 9
+PARTS = (
+    ("interpreter", "pass"),
+    ("and libraries", "import asyncio, ssl, logging, capnp, h11, hdrh.histogram, msgspec, uvloop"),
+    ("and the daemon", "import hornbeamgw.daemon.main, uvloop"),
+)
+ROUTES = (350, 1650)
+HOSTS = 4
+CHANGED = 10
+VERSIONS = 20
+
+
+def _core_seconds(code: str) -> float:
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    subprocess.run([sys.executable, "-c", code], check=True)
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    return after.ru_utime - before.ru_utime + after.ru_stime - before.ru_stime
+
+
+def _route(number: int, deadline_ms: int) -> Item:
+    body = {
+        "name": f"r{number}",
+        "host": f"h{number % HOSTS}.example",
+        "prefix": f"/{number}/",
+        "service": "s",
+        "entry": "e",
+        "idempotent": True,
+        "deadline_ms": deadline_ms,
+    }
+    return Item(0, body)
+
+
+def _catalogue(routes: int) -> dict[str, Item]:
+    entry = {"name": "e", "owner": "o", "traffic_class": "c", "limits": {"slots": 1}}
+    items = {f"route/r{number}": _route(number, 1000) for number in range(routes)}
+    service = Item(0, {"name": "s", "owner": "o"})
+    return {"entry/e": Item(0, entry), "service/s": service, **items}
+
+
+@register("start")
+async def start() -> None:
+    """Load what a daemon loads, and build its first version."""
+    for name, code in PARTS:
+        emit(name, "core seconds", [_core_seconds(code) for _ in range(RUNS)])
+    for routes in ROUTES:
+        samples = []
+        for _ in range(RUNS):
+            items = _catalogue(routes)
+            began = time.process_time()
+            build(1, digest_of(items), items).unwrap()
+            samples.append(time.process_time() - began)
+        emit("first version", "core seconds", samples, routes=routes)
+
+
+def _next_version(
+    items: dict[str, Item], known: Snapshot, version: int
+) -> tuple[dict[str, Item], Snapshot, float]:
+    after = dict(items)
+    for number in range(version, version + CHANGED):
+        after[f"route/r{number}"] = _route(number, 1000 + version)
+    began = time.process_time()
+    snapshot = build(version, str(version), after, items, known).unwrap()
+    return after, snapshot, time.process_time() - began
+
+
+@register("storm-of-versions")
+async def storm_of_versions() -> None:
+    """Build versions that each change ten routes, one from the other and from nothing."""
+    for routes in ROUTES:
+        items, changed, whole = _catalogue(routes), [], []
+        known = build(1, "1", items, base=EMPTY).unwrap()
+        for version in range(2, 2 + VERSIONS):
+            items, known, took = _next_version(items, known, version)
+            changed.append(took * 1000)
+            began = time.process_time()
+            build(version, str(version), items).unwrap()
+            whole.append((time.process_time() - began) * 1000)
+        emit("version from the one before", "ms", changed, routes=routes, changed=CHANGED)
+        emit("version from nothing", "ms", whole, routes=routes)
--- a/hornbeamgw/daemon/__main__.py
+++ b/hornbeamgw/daemon/__main__.py
@@ -2,16 +2,11 @@
 
 from __future__ import annotations
 
-import gc
 import sys
 from pathlib import Path
 
-# Loading 300 modules leaves nothing to collect, and looking for it takes a twentieth of a start;
-# the event loop collects again.
-gc.disable()
-
-from hornbeamgw.core.options import parse_settings  # noqa: E402
-from hornbeamgw.daemon.main import run  # noqa: E402
+from hornbeamgw.core.options import parse_settings
+from hornbeamgw.daemon.main import run
 
 EXIT_USAGE = 2
 
--- a/hornbeamgw/daemon/loop.py
+++ b/hornbeamgw/daemon/loop.py
@@ -28,11 +28,9 @@
     libuv 1.48 obeys UV_USE_IO_URING, later ones do not; docs/design/0002-event-loop.md.
     """
     os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    gc.enable()
+    import uvloop
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.get_loop()
