Tell in one line that a backend server ended, and what ran there by fingerprint

Cause: a call is known by an id that is new each time it comes; no log could show that one request ran at each server that ended, and none said that a server had ended at all.

Change: a fingerprint of target, caller's identity and body goes with each call and stands in the lines of failed ones; a connection that is lost is followed by one dial, which tells a server that ended from one that broke off (what a dial opens is kept for the next request). Nothing that is decided changes.

--- a/hornbeamgw/core/dialect.py
+++ b/hornbeamgw/core/dialect.py
@@ -14,7 +14,7 @@
     What only some platforms have starts empty: the header in which a backend server names itself as
     it answers a health check, the header by which a backend server proves that
     an answer is its own, the one by which it says that a request did not run, and the statuses
-    that say so by themselves.
+    that say so by themselves. A caller identifies itself by the headers that identify it.
     """
 
     call_id: bytes = b"hornbeamgw-call-id"
@@ -28,6 +28,7 @@
     other_instance_status: int = 0
     echoes_call_id: bool = False
     fractional_retry_after: bool = False
+    identifies_caller: tuple[bytes, ...] = (b"authorization",)
 
     @property
     def set_by_daemons(self) -> frozenset[bytes]:
--- a/hornbeamgw/daemon/backend_pool.py
+++ b/hornbeamgw/daemon/backend_pool.py
@@ -65,6 +65,22 @@
         self._open.add(connection)
         return connection
 
+    async def is_refused(self) -> bool:
+        """Return whether no process listens at the address any more; keep what a dial opens."""
+        if len(self._open) >= self.connections:
+            return False
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                connection = await dial(self.address)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        self.opened += 1
+        self._open.add(connection)
+        self._idle.append((connection, asyncio.get_running_loop().time()))
+        return False
+
     def is_fresh(self, connection: HttpConnection) -> bool:
         """Return whether a connection was opened for what is under way on it."""
         return connection not in self._reused
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -14,6 +14,7 @@
 from hornbeamgw.core.balancing import Candidate
 from hornbeamgw.core.crossing import Why
 from hornbeamgw.core.dialect import Dialect
+from hornbeamgw.core.fingerprint import UNKNOWN, as_text, fingerprint_of
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.snapshot import Route, Snapshot
 from hornbeamgw.core.verdict import Failure, Verdict
@@ -101,6 +102,7 @@
         self.tried: list[str] = []
         self.placed: list[Placed] = []
         self.status = 0
+        self.fingerprint = UNKNOWN
 
 
 def objective_left_ms(call: Call, now: float) -> int:
@@ -139,6 +141,19 @@
     return kept
 
 
+def fingerprint_of_call(call: Call, dialect: Dialect) -> int:
+    """Return what a call is known by when it comes again: its target, caller and body.
+
+    Of a body that is still on its way the part that has come counts, and the length announced.
+    """
+    head = call.head
+    names = (b"host", *dialect.identifies_caller)
+    parts = [head.method, head.target, *(header(head.headers, name) or b"" for name in names)]
+    if not call.body_complete:
+        parts.append(header(head.headers, b"content-length") or b"")
+    return fingerprint_of([*parts, call.body])
+
+
 def log_end(call: Call, failure: Failure | None, elapsed: float, version: int) -> None:
     """Tell how a call ended (elapsed in s) and what decided where it went."""
     told: dict[str, Any] = {
@@ -158,6 +173,7 @@
     if failure is None:
         told["status"] = call.status
     else:
+        told["fingerprint"] = as_text(call.fingerprint)
         told["reason"] = failure.reason
         told["detail"] = failure.detail
         told["retry_after_ms"] = failure.retry_after_ms
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -32,6 +32,7 @@
     Identity,
     View,
     call_id_of,
+    fingerprint_of_call,
     log_end,
     log_refused,
     number_of,
@@ -127,6 +128,7 @@
                     await self._read_body(connection, found)
             except TimeoutError:
                 raise BadRequest(408, "the request's body did not arrive in time") from None
+        found.fingerprint = fingerprint_of_call(found, self._dialect)
         timer = loop.call_at(found.deadline, self._expire, found)
         connection.on_lost = lambda: self._leave(found)
         try:
@@ -324,6 +326,7 @@
             call.came_back,
             call.arrivals > 0,
             call.route.entry.limits,
+            call.fingerprint,
         )
         attempt.load.sent_since += 1
         attempt.link.send(frame)
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -94,6 +94,7 @@
     call.priority = f.priority
     call.cameBack = f.came_back
     call.repeat = f.repeat
+    call.fingerprint = f.fingerprint
     limits = call.init("limits")
     limits.slots, limits.reserved, limits.queue = f.limits
 
@@ -241,6 +242,7 @@
         c.cameBack,
         c.repeat,
         Limits(c.limits.slots, c.limits.reserved, c.limits.queue),
+        c.fingerprint,
     )
 
 
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from hornbeamgw.core import fingerprint
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.verdict import Failure
@@ -33,6 +34,7 @@
 
     The objective (ms) is what is left of it, and the aim its whole; what is left may be negative.
     The limits are those of the entry in the caller's snapshot, for a receiver that has none yet.
+    The fingerprint is that of the request, 0 where the caller's daemon tells none.
     """
 
     attempt: int
@@ -52,6 +54,7 @@
     came_back: bool = False
     repeat: bool = False
     limits: Limits = NO_LIMITS
+    fingerprint: int = fingerprint.UNKNOWN
 
 
 class Body(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -5,11 +5,12 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from hornbeamgw.core import admission, breaker
 from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
 from hornbeamgw.core.dialect import HORNBEAMGW, Dialect
+from hornbeamgw.core.fingerprint import as_text
 from hornbeamgw.core.membership import ServerState
 from hornbeamgw.core.registration import Announcement, is_renewal, is_same_run
 from hornbeamgw.core.snapshot import Limits, Snapshot
@@ -57,7 +58,7 @@
         self._last_run: Announcement | None = None
         self.counts: Counter[str] = Counter()
         self.exchange = ServerExchange(
-            self.state, dialect, pacer or Pacer(), self.counts, self._on_stalled
+            self.state, dialect, pacer or Pacer(), self.counts, self._on_stalled, self._on_end
         )
         self.idle = asyncio.Event()
         self.idle.set()
@@ -327,6 +328,8 @@
             failure = task.result()
         now = asyncio.get_running_loop().time()
         log_end(attempt, failure, now)
+        if failure is not None and failure.reason in (Reason.CALLER_GONE, Reason.DEADLINE):
+            self.exchange.end_watch.note_given_up(attempt.call.fingerprint)
         has_worked = failure is None or failure.reason is Reason.DEADLINE
         decisions = admission.finish(self.state, attempt.id, started, now, has_worked)
         if failure is not None:
@@ -345,6 +348,12 @@
             return
         outgoing.task.add_done_callback(lambda _: self._forget(attempt))
 
+    def _on_end(self, fingerprints: Sequence[int]) -> None:
+        self.counts["server_ended"] += 1
+        instance = "" if self.announcement is None else self.announcement.instance
+        ran = [as_text(fingerprint) for fingerprint in fingerprints]
+        log.warning("backend server ended", extra={"instance": instance, "ran": ran})
+
     def _on_stalled(self, attempt: GateAttempt) -> None:
         self.counts["stalled_answers"] += 1
         failure = may_have_run(Reason.DEADLINE, "the caller's daemon took no more of the answer")
--- a/hornbeamgw/daemon/gate_attempt.py
+++ b/hornbeamgw/daemon/gate_attempt.py
@@ -8,6 +8,7 @@
 import h11
 
 from hornbeamgw.core.admission import AdmissionState, AttemptId, Request
+from hornbeamgw.core.fingerprint import as_text
 from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.verdict import Failure, Verdict
 from hornbeamgw.daemon import frames
@@ -87,6 +88,7 @@
     told["verdict"] = Verdict.ANSWERED if failure is None else failure.verdict
     if failure is not None:
         told |= {"reason": failure.reason, "detail": failure.detail}
+        told["fingerprint"] = as_text(attempt.call.fingerprint)
     log.info("attempt ended", extra=told)
 
 
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -6,7 +6,7 @@
 import contextlib
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import h11
 import msgspec
@@ -19,6 +19,7 @@
 from hornbeamgw.core.verdict import Failure, Reason, may_have_run, not_run
 from hornbeamgw.daemon import frames, heads, server_answer
 from hornbeamgw.daemon.backend_pool import BackendPool, PoolFull
+from hornbeamgw.daemon.end_watch import EndWatch
 from hornbeamgw.daemon.flow import WINDOW, Pacer
 from hornbeamgw.daemon.gate_attempt import GateAttempt, pump_body
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end, header
@@ -44,9 +45,11 @@
         pacer: Pacer,
         counts: Counter[str],
         on_stalled: Callable[[GateAttempt], None],
+        on_end: Callable[[Sequence[int]], None],
     ) -> None:
         """Take the admission state to report, how servers speak, and the pace of the link."""
         self.pool = BackendPool()
+        self.end_watch = EndWatch(self.pool, on_end)
         self.breaker = BreakerState()
         self.instance = ""
         self.on_replaced: Callable[[str], None] = lambda instance: None
@@ -61,6 +64,7 @@
         """Drop the connections to a run of the server, and what they told of it."""
         self.pool.close_idle()
         self.breaker = BreakerState()
+        self.end_watch.note_sound()
 
     def transfer_time(self, link: Link, route: str) -> float:
         """Return how long (s) an answer of a route is expected to take to the other daemon."""
@@ -92,6 +96,8 @@
                 pump = asyncio.create_task(pump_body(attempt, connection))
             return await self._relay_reply(attempt, connection, sent)
         except (ConnectionLost, h11.ProtocolError, msgspec.MsgspecError) as error:
+            if isinstance(error, ConnectionLost):
+                self.end_watch.note_lost(call.fingerprint)
             # A kept connection may have been dropped by a server that lives.
             if isinstance(error, ConnectionLost) and self.pool.is_fresh(connection):
                 self._note_broken(attempt)
@@ -136,6 +142,7 @@
         call_id = attempt.call.call_id
         event, foreign = await server_answer.next_head(connection, self._dialect, call_id, sent)
         breaker.note_sound(self.breaker)
+        self.end_watch.note_sound()
         self._counts["foreign_answers"] += foreign
         self.pool.note_keep_alive(connection, header(event.headers, b"keep-alive"))
         failure = server_answer.judge(self._dialect, event, call_id)
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -50,6 +50,7 @@
   cameBack @14 :Bool;
   repeat @15 :Bool;
   limits @16 :Limits;
+  fingerprint @17 :UInt64;
 }
 
 struct OutlookRequest {
--- a/hornbeamgw/testing/backend.py
+++ b/hornbeamgw/testing/backend.py
@@ -31,7 +31,10 @@
 
 
 class BackendOptions(NamedTuple):
-    """Hold what a stand-in backend server is like; times in seconds."""
+    """Hold what a stand-in backend server is like; times in seconds.
+
+    It falls under any request with a certain body, and starts again some time later.
+    """
 
     service: str
     slots: int
@@ -40,6 +43,9 @@
     work: float = 0.002
     cold_start: float = 0.0
     announced: str = ""
+    falls_under: bytes = b""
+    falls_after: float = 0.02
+    restart: float = 0.2
 
 
 class StandInBackend:
@@ -56,6 +62,9 @@
         self.after_drain: list[str] = []
         self.running = 0
         self.peak = 0
+        self.fallen_at: list[float] = []
+        self.runs_by_body: Counter[bytes] = Counter()
+        self._restart: asyncio.Task[None] | None = None
         self._announcer = HttpClient(options.daemon_admin, ANNOUNCE_TIMEOUT_S)
         self._server = HttpServer(self._handle, Timeouts())
 
@@ -91,11 +100,30 @@
 
     def close(self) -> None:
         """Stop at once, as a server that dies."""
+        if self._restart is not None:
+            self._restart.cancel()
         self._renewal.cancel()
         self._server.stop_accepting()
         self._server.abort()
         self._announcer.close()
 
+    def fall(self) -> None:
+        """End as a process that crashes, and start again at the same address after a time."""
+        if self._restart is not None:
+            return
+        self.fallen_at.append(asyncio.get_running_loop().time())
+        self._renewal.cancel()
+        self._restart = asyncio.create_task(self._start_again())
+        self._server.stop_accepting()
+        self._server.abort()
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(self.options.restart)
+        self._server = HttpServer(self._handle, Timeouts())
+        await self._server.start(self.address)
+        self._restart = None
+        self._renewal = asyncio.create_task(self._announce_loop())
+
     async def drain(self) -> None:
         """Announce that this server leaves, and wait for what runs."""
         self.state = "draining"
@@ -128,6 +156,10 @@
         self, connection: HttpConnection, query: dict[str, str], request_id: str
     ) -> None:
         body = await read_body(connection, BODY_LIMIT)
+        self.runs_by_body[body] += 1
+        if body and body == self.options.falls_under:
+            await asyncio.sleep(self.options.falls_after)
+            self.fall()
         work = float(query.get("work_ms", self.options.work * 1000)) / 1000
         if work:
             await asyncio.sleep(work)
