Count a connection that only told that a server lives as a fresh one

Cause: what the dial after a lost connection opens was kept and, once used, taken for one reused; the breaker then missed its loss, and a server that closes each connection at once got a third request.

--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -1,4 +1,4 @@
-"""Steps for quarantine: real daemons and servers in one process, and the decisions by themselves."""
+"""Steps for quarantine: real daemons and servers in one process, and decisions by themselves."""
 
 from __future__ import annotations
 
--- a/hornbeamgw/daemon/backend_pool.py
+++ b/hornbeamgw/daemon/backend_pool.py
@@ -31,6 +31,7 @@
         self._idle: list[tuple[HttpConnection, float]] = []
         self._open: set[HttpConnection] = set()
         self._reused: set[HttpConnection] = set()
+        self._unused: set[HttpConnection] = set()
         self._kept_alive_by_connection: dict[HttpConnection, float] = {}
 
     def configure(self, address: str, connections: int) -> None:
@@ -54,7 +55,7 @@
                 longest, self._kept_alive_by_connection.get(connection, longest)
             )
             if fresh and not connection.lost and not connection.has_input():
-                self._reused.add(connection)
+                self._take_idle(connection)
                 return connection
             self.discard(connection)
         if len(self._open) >= self.connections:
@@ -65,6 +66,12 @@
         self._open.add(connection)
         return connection
 
+    def _take_idle(self, connection: HttpConnection) -> None:
+        if connection in self._unused:
+            self._unused.discard(connection)
+        else:
+            self._reused.add(connection)
+
     async def is_refused(self) -> bool:
         """Return whether no process listens at the address any more; keep what a dial opens."""
         if len(self._open) >= self.connections:
@@ -78,6 +85,7 @@
             return False
         self.opened += 1
         self._open.add(connection)
+        self._unused.add(connection)
         self._idle.append((connection, asyncio.get_running_loop().time()))
         return False
 
@@ -110,6 +118,7 @@
     def _forget(self, connection: HttpConnection) -> None:
         self._open.discard(connection)
         self._reused.discard(connection)
+        self._unused.discard(connection)
         self._kept_alive_by_connection.pop(connection, None)
 
     def close_idle(self) -> None:
