Let an answer outlast what was told before it, and those that refuse say so

Cause: a randomised run of five daemons, whose records come late, doubled or never, showed two cases: a daemon that had joined by a record went on refusing what the others served, as those that told of it were gone; and one that had heard an answer took the quarantine up again from a third that had not.

Only what ended servers here goes into the row. An end by what ended another server before is told to all at once. A refusal for an unknown reason keeps its verdict.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -104,3 +104,22 @@
   Scenario: A request is known again by its target, its caller and its body
     Then two calls that differ only in id and time left have one fingerprint
     And calls that differ in path, body, host or who asks have others
+
+  Scenario Outline: A server that ends is told by what ran there, however its connections end
+    Given a gate beside a server that ends under the second of two requests, by <how>
+    When both are sent
+    Then one end is told, with both of them
+
+    Examples:
+      | how            |
+      | closing        |
+      | resetting      |
+
+  Scenario: A server that breaks off a connection but lives has not ended
+    Given a gate beside a server that closes each connection at once
+    When 3 lookups come one after the other
+    Then no end is told
+
+  Scenario: A refusal for a reason that only a newer daemon knows keeps its verdict
+    When a refusal for the reason "of tomorrow" comes that says that nothing ran
+    Then it is a refusal of the server, and nothing ran
--- a/features/randomised.feature
+++ b/features/randomised.feature
@@ -7,3 +7,7 @@
   Scenario: Whatever arrives of a backend server's runs, none comes back
     When heartbeats and farewells of many runs arrive in any order, late and twice
     Then no run came back that was followed, has left or drains
+
+  Scenario: Whatever daemons hear of one another's servers, the cause is refused and no other
+    When servers end under one request and by other causes, and records come in any order
+    Then all daemons agree on the cause, and what was answered is refused nowhere
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -7,23 +7,27 @@
 import h11
 from behave import given, then, when
 
+from features.steps.breaker import Asker
 from hornbeamgw.backends.rows import RowPage, StoredRow
 from hornbeamgw.core import quarantine
 from hornbeamgw.core.dialect import HORNBEAMGW
 from hornbeamgw.core.finding import Finding, FindingKind
 from hornbeamgw.core.fingerprint import fingerprint_of
-from hornbeamgw.core.membership import Member
+from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.quarantine import QuarantineState
-from hornbeamgw.core.snapshot import Route
-from hornbeamgw.core.verdict import Verdict
+from hornbeamgw.core.registration import Announcement
+from hornbeamgw.core.snapshot import EMPTY, Limits, Route
+from hornbeamgw.core.verdict import Reason, Verdict
 from hornbeamgw.daemon import codec, frames, heads
 from hornbeamgw.daemon.call import Call, fingerprint_of_call
+from hornbeamgw.daemon.gate import Gate
 from hornbeamgw.daemon.heads import RETRY_AFTER_MS, VERDICT
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, header
 from hornbeamgw.daemon.presence import OwnRow
 from hornbeamgw.daemon.quarantine import Quarantine
 from hornbeamgw.testing.local import LocalFleet, edit_from_bodies, wait_for
 
+HEAD = heads.encode_request(heads.RequestHead(b"GET", b"/0/", [(b"host", b"test.example")]))
 FALLS = b"falls"
 SOUND = b"sound"
 BODIES = {
@@ -353,10 +357,10 @@
     async def run():
         rows, published = OneRow(), []
         before = OwnRow(rows, ME)
-        before.note_findings(quarantine.findings(context.state))
+        before.note_findings(quarantine.kept_findings(context.state))
         await before.write()
         me = ME._replace(incarnation=ME.incarnation + 1)
-        context.anew = Quarantine(me, lambda findings, urgent: published.append(findings))
+        context.anew = Quarantine(me, lambda findings, kept, urgent: published.append(findings))
         OwnRow(rows, me, context.anew.hear).tell_findings(RowPage([rows.row], 1, 0.0))
         context.refusals = [context.anew.refusal(number_for("cause"))]
         context.published = published
@@ -410,3 +414,73 @@
 def other_fingerprints(context):
     others = [call_of(path=b"/b"), call_of(body=b"c"), call_of(host=b"i"), call_of(who=b"x")]
     assert len({call_of(), *others}) == 5, others
+
+
+# A gate
+
+
+async def start_ending(context, how):
+    sent = []
+
+    async def on_connection(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        sent.append(writer)
+        if len(sent) < 2:
+            return
+        context.ending.close()
+        for connection in sent:
+            connection.transport.abort() if how == "resetting" else connection.close()
+
+    context.ending = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+    host, port = context.ending.sockets[0].getsockname()
+    context.gate, context.asker = Gate(lambda: EMPTY, lambda: None), Asker()
+    serving = ServerState.SERVING
+    context.gate.announce(Announcement("lookup", f"{host}:{port}", 6, 9, serving, 1e12, "i-1"))
+
+
+@given("a gate beside a server that ends under the second of two requests, by {how}")
+def ending(context, how):
+    context.runner.run(start_ending(context, how))
+
+
+@when("both are sent")
+def both_sent(context):
+    async def run():
+        for number in (1, 2):
+            call = frames.Call(
+                number, f"c-{number}", "lookup", "safe-2", True, 3000, 2, HEAD, b"", True, "r-0",
+                limits=Limits(100, 0, 100), fingerprint=number,
+            )  # fmt: skip
+            context.gate.on_frame(context.asker, call)
+        await wait_for(lambda: len(context.asker.sent) == 2)
+        await wait_for(lambda: context.gate.counts["server_ended"])
+        await asyncio.sleep(0.05)
+
+    context.runner.run(run())
+
+
+@then("one end is told, with both of them")
+def one_end(context):
+    assert context.gate.counts["server_ended"] == 1
+    (finding,) = quarantine.findings(context.gate.quarantine.state)
+    assert finding.kind is FindingKind.ENDED and set(finding.fingerprints) == {1, 2}, finding
+
+
+@then("no end is told")
+def no_end(context):
+    context.runner.run(asyncio.sleep(0.1))
+    assert not context.gate.counts["server_ended"], context.gate.counts
+
+
+@when('a refusal for the reason "{reason}" comes that says that nothing ran')
+def newer(context, reason):
+    message = codec.schema.Frame.new_message()
+    refusal = message.init("refusal")
+    refusal.reason, refusal.mayHaveRun = reason, False
+    context.frame = codec.decode_frame(message.to_bytes())
+
+
+@then("it is a refusal of the server, and nothing ran")
+def as_refused(context):
+    failure = context.frame.failure
+    assert (failure.verdict, failure.reason) == (Verdict.NOT_RUN, Reason.BACKEND_REFUSED), failure
--- a/features/steps/randomised.py
+++ b/features/steps/randomised.py
@@ -8,6 +8,8 @@
 from hornbeamgw.core import invariants
 from properties.fleet_machine import PROFILE, STEPS_BY_KIND, FleetMachine
 from properties.moods import CALM
+from properties.quarantine_machine import PROFILE as QUARANTINE_PROFILE
+from properties.quarantine_machine import QuarantineMachine
 from properties.runs_machine import PROFILE as RUNS_PROFILE
 from properties.runs_machine import RunsMachine
 
@@ -38,3 +40,17 @@
 @then("no run came back that was followed, has left or drains")
 def none_came_back(context):
     assert not context.fault, context.fault
+
+
+@when("servers end under one request and by other causes, and records come in any order")
+def run_quarantine(context):
+    context.fault = ""
+    try:
+        run_state_machine_as_test(QuarantineMachine, settings=QUARANTINE_PROFILE)
+    except AssertionError as error:
+        context.fault = f"{error!r}: {error.__notes__}"
+
+
+@then("all daemons agree on the cause, and what was answered is refused nowhere")
+def agree(context):
+    assert not context.fault, context.fault
--- a/hornbeamgw/core/quarantine.py
+++ b/hornbeamgw/core/quarantine.py
@@ -43,6 +43,7 @@
 # What the present run of the server has answered of late, 100 bytes each: at 270 calls/s a daemon,
 # a request that is asked for every 7 s is among them.
 MOST_ANSWERED = 2048
+MOST_TOLD = len(FindingKind) * MOST_OF_A_KIND
 MOST_HEARD = 2048
 
 FindingId = tuple[str, int]  # the address of the daemon that made it, and its number
@@ -63,10 +64,11 @@
 
 
 class Told(NamedTuple):
-    """Hold a finding of one's own and until when to tell it."""
+    """Hold a finding of one's own, until when to tell it, and whether it must outlast restarts."""
 
     finding: Finding
     until: float
+    is_kept: bool = False
 
 
 class Decided(NamedTuple):
@@ -92,6 +94,7 @@
         self.ends_by_fingerprint: dict[int, set[FindingId]] = {}
         self.sentences_by_fingerprint: OrderedDict[int, Sentence] = OrderedDict()
         self.answered: OrderedDict[int, None] = OrderedDict()
+        self.cleared_until_by_fingerprint: OrderedDict[int, float] = OrderedDict()
 
 
 def findings(state: QuarantineState) -> tuple[Finding, ...]:
@@ -99,12 +102,27 @@
     return tuple(told.finding for told in state.told)
 
 
+def kept_findings(state: QuarantineState) -> tuple[Finding, ...]:
+    """Return the findings that the daemon's row carries, in case all daemons end."""
+    return tuple(told.finding for told in state.told if told.is_kept)
+
+
 def left(state: QuarantineState, fingerprint: int, now: float) -> float:
     """Return for how long (s) a request is refused, 0 where it may run."""
     sentence = state.sentences_by_fingerprint.get(fingerprint)
     return max(0.0, sentence.until - now) if sentence is not None else 0.0
 
 
+def note_refused(state: QuarantineState, fingerprint: int) -> None:
+    """Tell of a quarantine that is in use here: whoever has answered the request then says so.
+
+    Those that told of it first may be gone. With too many in use some are not told.
+    """
+    told = [t.finding for t in state.told if t.finding.kind is FindingKind.QUARANTINED]
+    if len(told) < MOST_OF_A_KIND and all(fingerprint not in f.fingerprints for f in told):
+        _tell_quarantined(state, fingerprint, is_kept=False)
+
+
 def must_run_apart(state: QuarantineState, fingerprint: int) -> bool:
     """Return whether a request may run beside no other of which as much is known."""
     if fingerprint in state.sentences_by_fingerprint:
@@ -150,13 +168,15 @@
     cleared: list[int] = []
     reported: list[int] = []
     for finding in new:
+        if finding.kind is FindingKind.ANSWERED:
+            cleared += [f for f in finding.fingerprints if _clear(state, f, now)]
+            continue
+        named = [f for f in finding.fingerprints if not _was_cleared(state, f, now)]
         if finding.kind is FindingKind.ENDED:
-            _take_report(state, (address, finding.number), finding.fingerprints, now)
-            reported += finding.fingerprints
-        elif finding.kind is FindingKind.ANSWERED:
-            cleared += [f for f in finding.fingerprints if _clear(state, f)]
+            _take_report(state, (address, finding.number), named, now)
+            reported += named
         else:
-            quarantined |= _take_quarantined(state, address, finding.fingerprints, now)
+            quarantined |= _take_quarantined(state, address, named, now)
     cleared += _clear_answered(state, (*reported, *quarantined), now)
     quarantined |= _judge(state, reported, now)
     return Decided({f: why for f, why in quarantined.items() if f not in cleared}, cleared)
@@ -168,6 +188,9 @@
     for finding_id, report in list(state.reports_by_id.items()):
         if now - report.at >= REPORTED_S:
             _drop_report(state, finding_id)
+    for fingerprint, until in list(state.cleared_until_by_fingerprint.items()):
+        if until <= now:
+            del state.cleared_until_by_fingerprint[fingerprint]
     ended = []
     for fingerprint, sentence in list(state.sentences_by_fingerprint.items()):
         # An end that is told from now on came after the request was tried again.
@@ -188,21 +211,25 @@
 
 
 def _tell(
-    state: QuarantineState, kind: FindingKind, fingerprints: tuple[int, ...], until: float
+    state: QuarantineState,
+    kind: FindingKind,
+    fingerprints: tuple[int, ...],
+    until: float,
+    is_kept: bool = False,
 ) -> int:
     """Add a finding to those that one's own record carries, and return its number."""
     finding = Finding(state.next_number, kind, fingerprints)
     state.next_number += 1
     alike = [told for told in state.told if told.finding.kind is kind]
     others = [told for told in state.told if told.finding.kind is not kind]
-    state.told = [*others, *[*alike, Told(finding, until)][-MOST_OF_A_KIND:]]
+    state.told = [*others, *[*alike, Told(finding, until, is_kept)][-MOST_OF_A_KIND:]]
     return finding.number
 
 
-def _tell_quarantined(state: QuarantineState, fingerprint: int) -> None:
+def _tell_quarantined(state: QuarantineState, fingerprint: int, is_kept: bool = True) -> None:
     _untell_quarantined(state, fingerprint)
     until = state.sentences_by_fingerprint[fingerprint].until
-    _tell(state, FindingKind.QUARANTINED, (fingerprint,), until)
+    _tell(state, FindingKind.QUARANTINED, (fingerprint,), until, is_kept)
 
 
 def _untell_quarantined(state: QuarantineState, fingerprint: int) -> None:
@@ -271,8 +298,17 @@
         state.sentences_by_fingerprint.popitem(last=False)
 
 
-def _clear(state: QuarantineState, fingerprint: int) -> bool:
+def _was_cleared(state: QuarantineState, fingerprint: int, now: float) -> bool:
+    """Return whether what is told against a request may be older than an answer to it."""
+    return now < state.cleared_until_by_fingerprint.get(fingerprint, 0.0)
+
+
+def _clear(state: QuarantineState, fingerprint: int, now: float) -> bool:
     """Forget all that is held against a request; return whether there was anything."""
+    state.cleared_until_by_fingerprint[fingerprint] = now + ANSWER_TOLD_S
+    state.cleared_until_by_fingerprint.move_to_end(fingerprint)
+    while len(state.cleared_until_by_fingerprint) > MOST_QUARANTINED:
+        state.cleared_until_by_fingerprint.popitem(last=False)
     _untell_quarantined(state, fingerprint)
     was_quarantined = state.sentences_by_fingerprint.pop(fingerprint, None) is not None
     return _forget_ends(state, fingerprint) or was_quarantined
@@ -282,7 +318,7 @@
     """Clear what was answered here of that which others hold enough against to matter."""
     known = [f for f in dict.fromkeys(asked) if f in state.answered and must_run_apart(state, f)]
     for fingerprint in known:
-        _clear(state, fingerprint)
+        _clear(state, fingerprint, now)
     if known:
         _tell_answered(state, known, now)
     return known
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -22,6 +22,9 @@
 LENGTH_BYTES = 4
 
 
+_REASONS = frozenset(Reason)
+
+
 class CodecError(ValueError):
     """Say that bytes are no message of this protocol."""
 
@@ -272,7 +275,9 @@
 
 def _read_refusal(r: Any) -> frames.Refusal:
     verdict = Verdict.MAY_HAVE_RUN if r.mayHaveRun else Verdict.NOT_RUN
-    failure = Failure(verdict, Reason(r.reason), r.detail, r.retryAfterMs, r.reachedServer)
+    # A newer daemon may have a reason that this one does not know; the verdict says what matters.
+    reason = Reason(r.reason) if r.reason in _REASONS else Reason.BACKEND_REFUSED
+    failure = Failure(verdict, reason, r.detail, r.retryAfterMs, r.reachedServer)
     return frames.Refusal(r.attempt, failure, r.freeSlots, r.waitMs)
 
 
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -60,7 +60,7 @@
         quarantine: Quarantine | None = None,
     ) -> None:
         """Take the snapshot in force and what to call when the server's state changes."""
-        self._quarantine = quarantine or Quarantine(NOBODY, lambda findings, urgent: None)
+        self.quarantine = quarantine or Quarantine(NOBODY, lambda *told: None)
         self.state = AdmissionState(policy)
         self.announcement: Announcement | None = None
         self._last_run: Announcement | None = None
@@ -107,7 +107,7 @@
         """Drop what was learned of a run; where it is surely over, end what ran there."""
         log.info("another run of the backend server", extra={"why": why, "is_over": is_over})
         self.exchange.forget_run()
-        self._quarantine.forget_run()
+        self.quarantine.forget_run()
         admission.forget_run(self.state)
         if not is_over:
             return
@@ -220,7 +220,7 @@
             failure = not_run(Reason.BACKEND_UNREACHABLE, detail, round(wait * 1000))
             self._send_failure(attempt, failure)
             return
-        refusal = self._quarantine.refusal(call.fingerprint) or self._apart(call.fingerprint)
+        refusal = self.quarantine.refusal(call.fingerprint) or self._apart(call.fingerprint)
         if refusal is not None:
             self.counts[f"refused.{refusal.reason}"] += 1
             self._send_failure(attempt, refusal)
@@ -239,7 +239,7 @@
 
     def _apart(self, fingerprint: int) -> Failure | None:
         """Refuse a request that ran at several ends beside another such: one is no cause."""
-        must_run_apart = self._quarantine.must_run_apart
+        must_run_apart = self.quarantine.must_run_apart
         if not must_run_apart(fingerprint):
             return None
         if not any(must_run_apart(a.call.fingerprint) for a in self._attempts.values()):
@@ -333,7 +333,7 @@
 
     async def _run(self, attempt: GateAttempt, deadline: float) -> Failure | None:
         # It may have waited for its slot since it came.
-        refusal = self._quarantine.refusal(attempt.call.fingerprint)
+        refusal = self.quarantine.refusal(attempt.call.fingerprint)
         if refusal is not None:
             return refusal
         try:
@@ -357,7 +357,7 @@
         now = asyncio.get_running_loop().time()
         log_end(attempt, failure, now)
         if failure is None and attempt.status < SERVER_ERROR:
-            self._quarantine.note_answered(attempt.call.fingerprint)
+            self.quarantine.note_answered(attempt.call.fingerprint)
         if failure is not None and failure.reason in (Reason.CALLER_GONE, Reason.DEADLINE):
             self.exchange.end_watch.note_given_up(attempt.call.fingerprint)
         has_worked = failure is None or failure.reason is Reason.DEADLINE
@@ -386,7 +386,7 @@
         self.counts["server_ended"] += 1
         ran = [as_text(fingerprint) for fingerprint in fingerprints]
         log.warning("backend server ended", extra={"instance": run.instance, "ran": ran})
-        self._quarantine.note_end(fingerprints)
+        self.quarantine.note_end(fingerprints)
 
     def _on_stalled(self, attempt: GateAttempt) -> None:
         self.counts["stalled_answers"] += 1
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -172,12 +172,14 @@
             server_started_ms=announced.started_ms,
         )
 
-    def _publish_findings(self, findings: tuple[Finding, ...], is_urgent: bool) -> None:
+    def _publish_findings(
+        self, findings: tuple[Finding, ...], kept: tuple[Finding, ...], is_urgent: bool
+    ) -> None:
         self.control.update_me(findings=findings)
         if is_urgent:
             self.control.announce_everywhere()
         if self._own_row is not None:
-            self._own_row.note_findings(findings)
+            self._own_row.note_findings(kept)
 
     async def start(self) -> dict[str, str]:
         """Listen on every address and return the addresses in use; raise OSError."""
--- a/hornbeamgw/daemon/presence.py
+++ b/hornbeamgw/daemon/presence.py
@@ -16,7 +16,7 @@
 
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, RowStore, StoredRow
-from hornbeamgw.core.finding import MOST_FINDINGS, MOST_FINGERPRINTS, Finding, FindingKind
+from hornbeamgw.core.finding import MOST_FINDINGS, MOST_FINGERPRINTS, Finding
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.options import is_address
 from hornbeamgw.core.registration import Announcement
@@ -131,10 +131,9 @@
         self._changed.set()
 
     def note_findings(self, findings: tuple[Finding, ...]) -> None:
-        """Keep the requests in quarantine, which must outlast all daemons that know of them."""
-        lasting = tuple(f for f in findings if f.kind is FindingKind.QUARANTINED)
-        if lasting != self._me.findings:
-            self._me = self._me._replace(findings=lasting)
+        """Keep findings that must outlast all daemons that know of them."""
+        if findings != self._me.findings:
+            self._me = self._me._replace(findings=findings)
             self._changed.set()
 
     def tell_findings(self, page: RowPage) -> None:
--- a/hornbeamgw/daemon/quarantine.py
+++ b/hornbeamgw/daemon/quarantine.py
@@ -19,14 +19,15 @@
 # Findings are numbered from the start of the daemon on (ms), in the 32 bits that a record has.
 NUMBERS = 1 << 31
 
-Publish = Callable[[tuple[Finding, ...], bool], None]
+# What one's record carries, what of it one's row keeps, and whether it can't wait for gossip.
+Publish = Callable[[tuple[Finding, ...], tuple[Finding, ...], bool], None]
 
 
 class Quarantine:
     """Own what is known of requests under which servers end."""
 
     def __init__(self, me: Member, publish: Publish) -> None:
-        """Take one's own record, and what carries findings in it, also urgently to all."""
+        """Take one's own record, and what carries findings in it to the others."""
         self.counts: Counter[str] = Counter()
         self.state = QuarantineState(me.address, me.incarnation % NUMBERS)
         self._incarnation = me.incarnation
@@ -41,6 +42,8 @@
         if not left:
             return None
         self.counts["refused"] += 1
+        quarantine.note_refused(self.state, fingerprint)
+        self._tell()
         return not_run(Reason.QUARANTINED, "servers end under this request", round(left * 1000))
 
     def must_run_apart(self, fingerprint: int) -> bool:
@@ -87,11 +90,17 @@
         self._tell()
 
     def _tell(self) -> None:
-        """Put one's findings in one's record where they changed; a quarantine can't wait."""
+        """Put one's findings in one's record where they changed."""
         findings = quarantine.findings(self.state)
         if findings == self._published:
             return
         new = set(findings) - set(self._published)
         self._published = findings
-        is_urgent = any(finding.kind is FindingKind.QUARANTINED for finding in new)
-        self._publish(findings, is_urgent)
+        kept = quarantine.kept_findings(self.state)
+        self._publish(findings, kept, any(self._is_urgent(finding, kept) for finding in new))
+
+    def _is_urgent(self, finding: Finding, kept: Sequence[Finding]) -> bool:
+        """Return whether all must hear at once: of what ended a server here, not the first time."""
+        if finding.kind is FindingKind.ENDED:
+            return any(map(self.must_run_apart, finding.fingerprints))
+        return finding in kept
