--- a/features/steps/breaker.py
+++ b/features/steps/breaker.py
@@ -12,11 +12,11 @@
 from hornbeamgw.core.registration import Announcement
 from hornbeamgw.core.snapshot import EMPTY, Limits
 from hornbeamgw.core.verdict import Verdict
-from hornbeamgw.daemon import frames, heads
+from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.gate import Gate
+from hornbeamgw.testing.asker import HEAD, Asker
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-HEAD = heads.encode_request(heads.RequestHead(b"GET", b"/0/", [(b"host", b"test.example")]))
 NOW = 100.0
 
 
@@ -96,19 +96,6 @@
 # A gate
 
 
-class Asker:
-    """Keep what a gate sends to the daemon that asks."""
-
-    def __init__(self):
-        """Start with nothing sent."""
-        self.hello = self.peer = frames.Hello("f", "asker", 1)
-        self.sent = []
-
-    def send(self, frame):
-        """Keep a frame."""
-        self.sent.append(frame)
-
-
 async def start_gate(context, answers):
     context.answers = answers
 
--- a/features/steps/randomised.py
+++ b/features/steps/randomised.py
@@ -16,6 +16,15 @@
 KINDS = len(CALM)
 
 
+def fault_of(machine, profile):
+    """Return what a randomised run found and how, or an empty text."""
+    try:
+        run_state_machine_as_test(machine, settings=profile)
+    except AssertionError as error:
+        return f"{error!r}: {error.__notes__}"
+    return ""
+
+
 @when("the randomised fleet runs with fixed seeds")
 def run_fleet(context):
     STEPS_BY_KIND.clear()
@@ -30,11 +39,7 @@
 
 @when("heartbeats and farewells of many runs arrive in any order, late and twice")
 def run_servers(context):
-    context.fault = ""
-    try:
-        run_state_machine_as_test(RunsMachine, settings=RUNS_PROFILE)
-    except AssertionError as error:
-        context.fault = f"{error!r}: {error.__notes__}"
+    context.fault = fault_of(RunsMachine, RUNS_PROFILE)
 
 
 @then("no run came back that was followed, has left or drains")
@@ -44,11 +49,7 @@
 
 @when("servers end under one request and by other causes, and records come in any order")
 def run_quarantine(context):
-    context.fault = ""
-    try:
-        run_state_machine_as_test(QuarantineMachine, settings=QUARANTINE_PROFILE)
-    except AssertionError as error:
-        context.fault = f"{error!r}: {error.__notes__}"
+    context.fault = fault_of(QuarantineMachine, QUARANTINE_PROFILE)
 
 
 @then("all daemons agree on the cause, and what was answered is refused nowhere")
--- /dev/null
+++ b/features/steps/server_ends.py
@@ -0,0 +1,70 @@
+"""Steps for ends of servers: a gate beside a scripted server on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from hornbeamgw.core import quarantine
+from hornbeamgw.core.finding import FindingKind
+from hornbeamgw.core.membership import ServerState
+from hornbeamgw.core.registration import Announcement
+from hornbeamgw.core.snapshot import EMPTY, Limits
+from hornbeamgw.daemon import frames
+from hornbeamgw.daemon.gate import Gate
+from hornbeamgw.testing.asker import HEAD, Asker
+from hornbeamgw.testing.local import wait_for
+
+
+async def start_ending(context, how):
+    sent = []
+
+    async def on_connection(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        sent.append(writer)
+        if len(sent) < 2:
+            return
+        context.ending.close()
+        for connection in sent:
+            connection.transport.abort() if how == "resetting" else connection.close()
+
+    context.ending = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+    host, port = context.ending.sockets[0].getsockname()
+    context.gate, context.asker = Gate(lambda: EMPTY, lambda: None), Asker()
+    serving = ServerState.SERVING
+    context.gate.announce(Announcement("lookup", f"{host}:{port}", 6, 9, serving, 1e12, "i-1"))
+
+
+@given("a gate beside a server that ends under the second of two requests, by {how}")
+def ending(context, how):
+    context.runner.run(start_ending(context, how))
+
+
+@when("both are sent")
+def both_sent(context):
+    async def run():
+        for number in (1, 2):
+            call = frames.Call(
+                number, f"c-{number}", "lookup", "safe-2", True, 3000, 2, HEAD, b"", True, "r-0",
+                limits=Limits(100, 0, 100), fingerprint=number,
+            )  # fmt: skip
+            context.gate.on_frame(context.asker, call)
+        await wait_for(lambda: len(context.asker.sent) == 2)
+        await wait_for(lambda: context.gate.counts["server_ended"])
+        await asyncio.sleep(0.05)
+
+    context.runner.run(run())
+
+
+@then("one end is told, with both of them")
+def one_end(context):
+    assert context.gate.counts["server_ended"] == 1
+    (finding,) = quarantine.findings(context.gate.quarantine.state)
+    assert finding.kind is FindingKind.ENDED and set(finding.fingerprints) == {1, 2}, finding
+
+
+@then("no end is told")
+def no_end(context):
+    context.runner.run(asyncio.sleep(0.1))
+    assert not context.gate.counts["server_ended"], context.gate.counts
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -48,6 +48,7 @@
 from hornbeamgw.daemon.http_server import BadRequest
 from hornbeamgw.daemon.link import LinkLost
 from hornbeamgw.daemon.quarantine import Quarantine
+from hornbeamgw.daemon.request_body import answer_expect, take_body
 from hornbeamgw.daemon.servers import Servers
 
 __all__ = ["Calls", "Identity", "View"]
@@ -124,13 +125,8 @@
             log_refused(call_id, found, view.snapshot.version)
             self._fail(connection, found, call_id)
             return
-        _answer_expect(connection)
-        if not self._take_body(connection, found):
-            try:
-                async with asyncio.timeout_at(found.deadline):
-                    await self._read_body(connection, found)
-            except TimeoutError:
-                raise BadRequest(408, "the request's body did not arrive in time") from None
+        answer_expect(connection)
+        await take_body(connection, found, self._replay_limit)
         found.fingerprint = fingerprint_of_call(found, self._dialect)
         timer = loop.call_at(found.deadline, self._expire, found)
         connection.on_lost = lambda: self._leave(found)
@@ -175,26 +171,6 @@
         call.objective = now + call.aim - before
         return call
 
-    def _take_body(self, connection: HttpConnection, call: Call) -> bool:
-        """Take what has arrived of a body; return whether that is all, or enough to begin with.
-
-        Most requests have arrived whole with their head, and need no timer for the rest.
-        """
-        while len(call.body) <= self._replay_limit:
-            event = connection.poll()
-            if event is None:
-                return False
-            if isinstance(event, h11.EndOfMessage):
-                call.body_complete = True
-                return True
-            if isinstance(event, h11.Data):
-                call.body += bytes(event.data)
-        return True
-
-    async def _read_body(self, connection: HttpConnection, call: Call) -> None:
-        while not self._take_body(connection, call):
-            await connection.wait_input()
-
     def _expire(self, call: Call) -> None:
         call.expired = True
         if call.current is not None:
@@ -413,8 +389,3 @@
 def _no_server(service: str) -> Failure:
     detail = f"no backend server of {service} is known"
     return not_run(Reason.NO_BACKEND, detail, NO_ENDPOINT_RETRY_MS)
-
-
-def _answer_expect(connection: HttpConnection) -> None:
-    if connection.http.they_are_waiting_for_100_continue:
-        connection.send(h11.InformationalResponse(status_code=100, headers=[]))
