Forget the ends that a quarantine explains when it is over

Cause: reading the change: the reports that name a quarantined request outlast its quarantine; with the request struck from them, what had run beside it three times was named by them alone, and would have been blamed at the next report of anything. Such reports now go whole.

Also: names without a metaphor (period, cause).

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -123,3 +123,13 @@
   Scenario: A refusal for a reason that only a newer daemon knows keeps its verdict
     When a refusal for the reason "of tomorrow" comes that says that nothing ran
     Then it is a refusal of the server, and nothing ran
+
+  Scenario: What ran beside the cause is not blamed when the quarantine is over
+    Given what a daemon knows of ends
+    When servers 1, 2 and 3 end under "cause" and "beside"
+    And server 4 ends under "cause" alone
+    Then "cause" is in quarantine, and no other is
+    When 301 s have passed
+    And server 4 ends under "another" alone
+    Then nothing is refused, and "cause" must run apart
+    And "beside" must not run apart
--- a/features/steps/findings.py
+++ b/features/steps/findings.py
@@ -106,24 +106,24 @@
 
 
 def refused(context):
-    known = context.state.sentences_by_fingerprint
+    known = context.state.periods_by_fingerprint
     return {f for f in known if quarantine.left(context.state, f, context.now)}
 
 
 @then('"{name}" is in quarantine, and no other is')
 def only(context, name):
-    assert refused(context) == {number_for(name)}, context.state.sentences_by_fingerprint
+    assert refused(context) == {number_for(name)}, context.state.periods_by_fingerprint
 
 
 @then('nothing is refused, and "{name}" must run apart')
 def apart(context, name):
-    assert not refused(context), context.state.sentences_by_fingerprint
+    assert not refused(context), context.state.periods_by_fingerprint
     assert quarantine.must_run_apart(context.state, number_for(name))
 
 
 @then('nothing is refused, and "{name}" must not run apart')
 def not_refused(context, name):
-    assert not refused(context), context.state.sentences_by_fingerprint
+    assert not refused(context), context.state.periods_by_fingerprint
     not_apart(context, name)
 
 
@@ -149,14 +149,14 @@
 def nothing_known(context):
     state = context.state
     assert not state.told and not state.reports_by_id, (state.told, state.reports_by_id)
-    assert not state.ends_by_fingerprint and not state.sentences_by_fingerprint
+    assert not state.ends_by_fingerprint and not state.periods_by_fingerprint
 
 
 @then("at most {ends:d} ends, {quarantines:d} quarantines and {findings:d} findings are held")
 def bounded(context, ends, quarantines, findings):
     state = context.state
     assert len(state.reports_by_id) <= ends
-    assert len(state.sentences_by_fingerprint) <= quarantines
+    assert len(state.periods_by_fingerprint) <= quarantines
     assert len(quarantine.findings(state)) <= findings
     assert len(state.heard) <= quarantine.MOST_HEARD
     named = sum(len(report.fingerprints) for report in state.reports_by_id.values())
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -160,6 +160,6 @@
 @then("nothing is in quarantine")
 def none_quarantined(context):
     for daemon in context.fleet.daemons:
-        assert not daemon.quarantine.state.sentences_by_fingerprint, daemon.quarantine.counts
+        assert not daemon.quarantine.state.periods_by_fingerprint, daemon.quarantine.counts
     ends = sum(daemon.gate.counts["server_ended"] for daemon in context.fleet.daemons)
     assert ends >= 8, ends  # of 16 falls; at the others nothing ran
--- a/hornbeamgw/core/quarantine.py
+++ b/hornbeamgw/core/quarantine.py
@@ -43,7 +43,6 @@
 # What the present run of the server has answered of late, 170 bytes each by tracemalloc: at 270
 # calls/s a daemon, a request that is asked for every 7 s is among them.
 MOST_ANSWERED = 2048
-MOST_TOLD = len(FindingKind) * MOST_OF_A_KIND
 MOST_HEARD = 2048
 
 FindingId = tuple[str, int]  # the address of the daemon that made it, and its number
@@ -56,11 +55,12 @@
     fingerprints: frozenset[int]
 
 
-class Sentence(NamedTuple):
-    """Hold until when a request is refused, and for how long (s) that was set."""
+class Period(NamedTuple):
+    """Hold until when a request is refused, for how long (s) that was set, and if it is over."""
 
     until: float
     length: float
+    is_over: bool = False
 
 
 class Told(NamedTuple):
@@ -92,7 +92,7 @@
         self.heard: OrderedDict[FindingId, None] = OrderedDict()
         self.reports_by_id: OrderedDict[FindingId, Report] = OrderedDict()
         self.ends_by_fingerprint: dict[int, set[FindingId]] = {}
-        self.sentences_by_fingerprint: OrderedDict[int, Sentence] = OrderedDict()
+        self.periods_by_fingerprint: OrderedDict[int, Period] = OrderedDict()
         self.answered: OrderedDict[int, None] = OrderedDict()
         self.cleared_until_by_fingerprint: OrderedDict[int, float] = OrderedDict()
 
@@ -109,8 +109,8 @@
 
 def left(state: QuarantineState, fingerprint: int, now: float) -> float:
     """Return for how long (s) a request is refused, 0 where it may run."""
-    sentence = state.sentences_by_fingerprint.get(fingerprint)
-    return max(0.0, sentence.until - now) if sentence is not None else 0.0
+    period = state.periods_by_fingerprint.get(fingerprint)
+    return max(0.0, period.until - now) if period is not None else 0.0
 
 
 def note_refused(state: QuarantineState, fingerprint: int) -> None:
@@ -125,7 +125,7 @@
 
 def must_run_apart(state: QuarantineState, fingerprint: int) -> bool:
     """Return whether a request may run beside no other of which as much is known."""
-    if fingerprint in state.sentences_by_fingerprint:
+    if fingerprint in state.periods_by_fingerprint:
         return True
     return len(state.ends_by_fingerprint.get(fingerprint, ())) >= ENDS_TO_RUN_APART
 
@@ -139,7 +139,7 @@
     while len(state.answered) > MOST_ANSWERED:
         state.answered.popitem(last=False)
     cleared = _clear_answered(state, (fingerprint,), now)
-    return Decided(_judge(state, (), now), cleared) if cleared else NOTHING
+    return Decided(_quarantine_causes(state, (), now), cleared) if cleared else NOTHING
 
 
 def forget_run(state: QuarantineState) -> None:
@@ -158,7 +158,7 @@
     named = tuple(unanswered[:MOST_FINGERPRINTS])
     number = _tell(state, FindingKind.ENDED, named, now + REPORTED_S)
     _take_report(state, (state.address, number), named, now)
-    return Decided(_judge(state, named, now))
+    return Decided(_quarantine_causes(state, named, now))
 
 
 def hear(state: QuarantineState, address: str, told: Sequence[Finding], now: float) -> Decided:
@@ -178,7 +178,7 @@
         else:
             quarantined |= _take_quarantined(state, address, named, now)
     cleared += _clear_answered(state, (*reported, *quarantined), now)
-    quarantined |= _judge(state, reported, now)
+    quarantined |= _quarantine_causes(state, reported, now)
     return Decided({f: why for f, why in quarantined.items() if f not in cleared}, cleared)
 
 
@@ -192,12 +192,12 @@
         if until <= now:
             del state.cleared_until_by_fingerprint[fingerprint]
     ended = []
-    for fingerprint, sentence in list(state.sentences_by_fingerprint.items()):
-        # An end that is told from now on came after the request was tried again.
-        if sentence.until <= now and _forget_ends(state, fingerprint):
+    for fingerprint, period in list(state.periods_by_fingerprint.items()):
+        if period.until <= now and not period.is_over:
+            _end_period(state, fingerprint, period)
             ended.append(fingerprint)
-        if now >= sentence.until + sentence.length:
-            del state.sentences_by_fingerprint[fingerprint]
+        if now >= period.until + period.length:
+            del state.periods_by_fingerprint[fingerprint]
     return tuple(ended)
 
 
@@ -227,12 +227,12 @@
 
 
 def _tell_quarantined(state: QuarantineState, fingerprint: int, is_kept: bool = True) -> None:
-    _untell_quarantined(state, fingerprint)
-    until = state.sentences_by_fingerprint[fingerprint].until
+    _withdraw_quarantined(state, fingerprint)
+    until = state.periods_by_fingerprint[fingerprint].until
     _tell(state, FindingKind.QUARANTINED, (fingerprint,), until, is_kept)
 
 
-def _untell_quarantined(state: QuarantineState, fingerprint: int) -> None:
+def _withdraw_quarantined(state: QuarantineState, fingerprint: int) -> None:
     alike = (FindingKind.QUARANTINED, (fingerprint,))
     state.told = [t for t in state.told if (t.finding.kind, t.finding.fingerprints) != alike]
 
@@ -267,6 +267,16 @@
             del state.ends_by_fingerprint[fingerprint]
 
 
+def _end_period(state: QuarantineState, fingerprint: int, period: Period) -> None:
+    """Forget the ends that a quarantine explains, so that only one that follows counts again.
+
+    They go whole: with the cause struck, they would be held against what ran beside it.
+    """
+    for finding_id in list(state.ends_by_fingerprint.get(fingerprint, ())):
+        _drop_report(state, finding_id)
+    state.periods_by_fingerprint[fingerprint] = period._replace(is_over=True)
+
+
 def _forget_ends(state: QuarantineState, fingerprint: int) -> bool:
     """Strike a request from all reports; return whether it stood in any."""
     ends = state.ends_by_fingerprint.pop(fingerprint, set())
@@ -281,21 +291,21 @@
     state: QuarantineState, address: str, fingerprints: Iterable[int], now: float
 ) -> dict[int, Sequence[str]]:
     """Take what another daemon has quarantined; return what is new of it."""
-    new = [f for f in fingerprints if f not in state.sentences_by_fingerprint]
+    new = [f for f in fingerprints if f not in state.periods_by_fingerprint]
     for fingerprint in new:
-        _sentence(state, fingerprint, now)
+        _quarantine(state, fingerprint, now)
         # What this daemon told before it restarted is told again, so that the next start finds it.
         if address == state.address:
             _tell_quarantined(state, fingerprint)
     return dict.fromkeys(new, (address,))
 
 
-def _sentence(state: QuarantineState, fingerprint: int, now: float) -> None:
-    before = state.sentences_by_fingerprint.pop(fingerprint, None)
+def _quarantine(state: QuarantineState, fingerprint: int, now: float) -> None:
+    before = state.periods_by_fingerprint.pop(fingerprint, None)
     length = QUARANTINE_S if before is None else min(QUARANTINE_MOST_S, 2 * before.length)
-    state.sentences_by_fingerprint[fingerprint] = Sentence(now + length, length)
-    while len(state.sentences_by_fingerprint) > MOST_QUARANTINED:
-        state.sentences_by_fingerprint.popitem(last=False)
+    state.periods_by_fingerprint[fingerprint] = Period(now + length, length)
+    while len(state.periods_by_fingerprint) > MOST_QUARANTINED:
+        state.periods_by_fingerprint.popitem(last=False)
 
 
 def _was_cleared(state: QuarantineState, fingerprint: int, now: float) -> bool:
@@ -309,8 +319,8 @@
     state.cleared_until_by_fingerprint.move_to_end(fingerprint)
     while len(state.cleared_until_by_fingerprint) > MOST_QUARANTINED:
         state.cleared_until_by_fingerprint.popitem(last=False)
-    _untell_quarantined(state, fingerprint)
-    was_quarantined = state.sentences_by_fingerprint.pop(fingerprint, None) is not None
+    _withdraw_quarantined(state, fingerprint)
+    was_quarantined = state.periods_by_fingerprint.pop(fingerprint, None) is not None
     return _forget_ends(state, fingerprint) or was_quarantined
 
 
@@ -332,14 +342,16 @@
     return len(frozenset.intersection(*(state.reports_by_id[i].fingerprints for i in ends))) == 1
 
 
-def _judge(state: QuarantineState, reported: Iterable[int], now: float) -> dict[int, Sequence[str]]:
+def _quarantine_causes(
+    state: QuarantineState, reported: Iterable[int], now: float
+) -> dict[int, Sequence[str]]:
     """Quarantine what the reports show to be a cause; return it with who reported the ends."""
-    again = [f for f in reported if f in state.sentences_by_fingerprint and not left(state, f, now)]
-    fresh = [f for f in state.ends_by_fingerprint if f not in state.sentences_by_fingerprint]
+    again = [f for f in reported if f in state.periods_by_fingerprint and not left(state, f, now)]
+    fresh = [f for f in state.ends_by_fingerprint if f not in state.periods_by_fingerprint]
     causes = [*again, *(f for f in fresh if _is_cause(state, f))]
     quarantined: dict[int, Sequence[str]] = {}
     for fingerprint in causes:
-        _sentence(state, fingerprint, now)
+        _quarantine(state, fingerprint, now)
         ends = state.ends_by_fingerprint[fingerprint]
         quarantined[fingerprint] = sorted(address for address, _ in ends)
         if any(address == state.address for address, _ in ends):
--- a/hornbeamgw/daemon/admin.py
+++ b/hornbeamgw/daemon/admin.py
@@ -111,7 +111,7 @@
             *exposition.counters("gate", self._gate.counts),
             *exposition.counters("platform", reads),
             *exposition.counters("quarantine", self._quarantine.counts),
-            exposition.gauge("quarantined", len(self._quarantine.state.sentences_by_fingerprint)),
+            exposition.gauge("quarantined", len(self._quarantine.state.periods_by_fingerprint)),
             *exposition.counters("control_bytes_in", meter.bytes_in),
             *exposition.counters("control_bytes_out", meter.bytes_out),
             *exposition.counters("bytes_between_data_centres", meter.crossed),
@@ -253,10 +253,10 @@
         return 200, [
             {
                 "fingerprint": as_text(fingerprint),
-                "refused_for_s": round(max(0.0, sentence.until - now), 1),
+                "refused_for_s": round(max(0.0, period.until - now), 1),
                 "ends": [address for address, _ in state.ends_by_fingerprint.get(fingerprint, ())],
             }
-            for fingerprint, sentence in state.sentences_by_fingerprint.items()
+            for fingerprint, period in state.periods_by_fingerprint.items()
         ]
 
     async def _edit(self, query: Query, body: bytes) -> tuple[int, Any]:
--- a/hornbeamgw/daemon/quarantine.py
+++ b/hornbeamgw/daemon/quarantine.py
@@ -36,7 +36,7 @@
 
     def refusal(self, fingerprint: int) -> Failure | None:
         """Return why a request is not sent to any server, None where it may be."""
-        if not self.state.sentences_by_fingerprint:
+        if not self.state.periods_by_fingerprint:
             return None
         left = quarantine.left(self.state, fingerprint, asyncio.get_running_loop().time())
         if not left:
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -62,7 +62,7 @@
     Mutant(
         "requests of which as much is known don't run beside one another",
         "hornbeamgw/core/quarantine.py",
-        (("    if fingerprint in state.sentences_by_fingerprint:\n        return True\n", ""),),
+        (("    if fingerprint in state.periods_by_fingerprint:\n        return True\n", ""),),
         QUARANTINE,
     ),
     Mutant(
--- a/properties/quarantine_machine.py
+++ b/properties/quarantine_machine.py
@@ -14,7 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from hornbeamgw.core import quarantine
-from hornbeamgw.core.finding import Finding, FindingKind
+from hornbeamgw.core.finding import MOST_FINDINGS, Finding, FindingKind
 from hornbeamgw.core.quarantine import QuarantineState
 
 PROFILE = settings(
@@ -122,7 +122,7 @@
                 for fingerprint in report.fingerprints:
                     named.setdefault(fingerprint, set()).add(finding_id)
             assert named == state.ends_by_fingerprint
-            assert len(state.told) <= quarantine.MOST_TOLD
+            assert len(state.told) <= MOST_FINDINGS
             numbers = [told.finding.number for told in state.told]
             assert len(set(numbers)) == len(numbers)
 
@@ -151,5 +151,5 @@
             if finding.kind is FindingKind.ENDED and CAUSE in finding.fingerprints
         }
         if len(ends) >= quarantine.ENDS_TO_QUARANTINE:
-            known = [CAUSE in state.sentences_by_fingerprint for state in self.states]
+            known = [CAUSE in state.periods_by_fingerprint for state in self.states]
             assert all(known), (ends, known)
