Answer for what another daemon refuses, and don't tell of answers from before the ends

Change: whoever has answered what a record says is in quarantine tells so, whatever it heard before; a daemon that quarantines a request no longer tells that it was answered.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -133,3 +133,11 @@
     And server 4 ends under "another" alone
     Then nothing is refused, and "cause" must run apart
     And "beside" must not run apart
+
+  Scenario: What one daemon blames and another has answered is refused nowhere
+    Given what a daemon knows of ends
+    And its own server has answered "beside"
+    When server 1 tells that "beside" was answered
+    And server 1 tells that "beside" is in quarantine
+    Then nothing is refused, and "beside" must not run apart
+    And its record tells the others that "beside" was answered
--- a/features/steps/findings.py
+++ b/features/steps/findings.py
@@ -263,3 +263,13 @@
 def as_refused(context):
     failure = context.frame.failure
     assert (failure.verdict, failure.reason) == (Verdict.NOT_RUN, Reason.BACKEND_REFUSED), failure
+
+
+@when('server 1 tells that "{name}" was answered')
+def told_answered(context, name):
+    tell(context, 1, FindingKind.ANSWERED, [name])
+
+
+@when('server 1 tells that "{name}" is in quarantine')
+def told_quarantined(context, name):
+    tell(context, 1, FindingKind.QUARANTINED, [name])
--- a/hornbeamgw/core/quarantine.py
+++ b/hornbeamgw/core/quarantine.py
@@ -138,7 +138,8 @@
     state.answered.move_to_end(fingerprint)
     while len(state.answered) > MOST_ANSWERED:
         state.answered.popitem(last=False)
-    cleared = _clear_answered(state, (fingerprint,), now)
+    matters = must_run_apart(state, fingerprint)
+    cleared = _clear_answered(state, (fingerprint,), now) if matters else []
     return Decided(_quarantine_causes(state, (), now), cleared) if cleared else NOTHING
 
 
@@ -177,7 +178,10 @@
             reported += named
         else:
             quarantined |= _take_quarantined(state, address, named, now)
-    cleared += _clear_answered(state, (*reported, *quarantined), now)
+    # Where one daemon refuses what this one serves, it has not heard of the answer, or not since.
+    refused = [f for told in new if told.kind is FindingKind.QUARANTINED for f in told.fingerprints]
+    suspects = [f for f in reported if must_run_apart(state, f)]
+    cleared += _clear_answered(state, (*suspects, *refused), now)
     quarantined |= _quarantine_causes(state, reported, now)
     return Decided({f: why for f, why in quarantined.items() if f not in cleared}, cleared)
 
@@ -237,6 +241,15 @@
     state.told = [t for t in state.told if (t.finding.kind, t.finding.fingerprints) != alike]
 
 
+def _withdraw_answered(state: QuarantineState, fingerprint: int) -> None:
+    """Tell no longer that a request was answered: servers have ended under it since."""
+    for index, told in enumerate(state.told):
+        named = told.finding.fingerprints
+        if told.finding.kind is FindingKind.ANSWERED and fingerprint in named:
+            rest = tuple(f for f in named if f != fingerprint)
+            state.told[index] = told._replace(finding=told.finding._replace(fingerprints=rest))
+
+
 def _tell_answered(state: QuarantineState, fingerprints: Sequence[int], now: float) -> None:
     """Tell in one finding what was answered, with what was told so a moment ago."""
     before = [t.finding for t in state.told if t.finding.kind is FindingKind.ANSWERED]
@@ -301,6 +314,7 @@
 
 
 def _quarantine(state: QuarantineState, fingerprint: int, now: float) -> None:
+    _withdraw_answered(state, fingerprint)
     before = state.periods_by_fingerprint.pop(fingerprint, None)
     length = QUARANTINE_S if before is None else min(QUARANTINE_MOST_S, 2 * before.length)
     state.periods_by_fingerprint[fingerprint] = Period(now + length, length)
@@ -324,9 +338,9 @@
     return _forget_ends(state, fingerprint) or was_quarantined
 
 
-def _clear_answered(state: QuarantineState, asked: Iterable[int], now: float) -> list[int]:
-    """Clear what was answered here of that which others hold enough against to matter."""
-    known = [f for f in dict.fromkeys(asked) if f in state.answered and must_run_apart(state, f)]
+def _clear_answered(state: QuarantineState, suspects: Iterable[int], now: float) -> list[int]:
+    """Clear what was answered here of that which any daemon holds enough against to matter."""
+    known = [f for f in dict.fromkeys(suspects) if f in state.answered]
     for fingerprint in known:
         _clear(state, fingerprint, now)
     if known:
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -50,7 +50,7 @@
     Mutant(
         "what the servers have answered is not held against a request",
         "hornbeamgw/core/quarantine.py",
-        (("if f in state.answered and must_run_apart(state, f)]", "if False]"),),
+        (("if f in state.answered]", "if False]"),),
         QUARANTINE,
     ),
     Mutant(
