Name what was lost with a server before what was given up on

Cause: reading the change: a report holds 16 requests, and callers that leave early fill it with what was given up on in the last second, ahead of what ran as the server ended.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -141,3 +141,8 @@
     And server 1 tells that "beside" is in quarantine
     Then nothing is refused, and "beside" must not run apart
     And its record tells the others that "beside" was answered
+
+  Scenario: What was lost with the server is named before what was given up on
+    Given a watch over a server that is gone
+    When 40 requests are given up on, and then one is lost
+    Then the one that was lost is named first
--- a/features/steps/server_ends.py
+++ b/features/steps/server_ends.py
@@ -12,6 +12,7 @@
 from hornbeamgw.core.registration import Announcement
 from hornbeamgw.core.snapshot import EMPTY, Limits
 from hornbeamgw.daemon import frames
+from hornbeamgw.daemon.end_watch import EndWatch
 from hornbeamgw.daemon.gate import Gate
 from hornbeamgw.testing.asker import HEAD, Asker
 from hornbeamgw.testing.local import wait_for
@@ -68,3 +69,34 @@
 def no_end(context):
     context.runner.run(asyncio.sleep(0.1))
     assert not context.gate.counts["server_ended"], context.gate.counts
+
+
+class Gone:
+    """Stand for the connections to a server that is gone."""
+
+    async def is_refused(self):
+        """Say that nobody listens."""
+        return True
+
+
+@given("a watch over a server that is gone")
+def watch_gone(context):
+    context.ran = []
+    context.watch = EndWatch(Gone(), context.ran.extend)
+
+
+@when("{count:d} requests are given up on, and then one is lost")
+def given_up(context, count):
+    async def run():
+        for fingerprint in range(1, count + 1):
+            context.watch.note_given_up(fingerprint)
+        context.watch.note_lost(count + 1)
+        await wait_for(lambda: context.ran)
+
+    context.lost = count + 1
+    context.runner.run(run())
+
+
+@then("the one that was lost is named first")
+def lost_first(context):
+    assert context.ran[0] == context.lost, context.ran
--- a/hornbeamgw/daemon/end_watch.py
+++ b/hornbeamgw/daemon/end_watch.py
@@ -56,6 +56,7 @@
         await asyncio.sleep(SETTLE_S)
         self._has_ended = True
         oldest = asyncio.get_running_loop().time() - RECENT_S
-        ran = dict.fromkeys(fingerprint for at, fingerprint in self._lost if at >= oldest)
+        # What was lost with the server goes first, as a report may not hold all that was given up.
+        ran = dict.fromkeys(fingerprint for at, fingerprint in reversed(self._lost) if at >= oldest)
         self._lost.clear()
         self._on_end(tuple(ran))
