--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -49,6 +49,7 @@
 from hornbeamgw.daemon.link import LinkLost
 from hornbeamgw.daemon.quarantine import Quarantine
 from hornbeamgw.daemon.request_body import answer_expect, take_body
+from hornbeamgw.daemon.server_answer import SERVER_ERROR
 from hornbeamgw.daemon.servers import Servers
 
 __all__ = ["Calls", "Identity", "View"]
@@ -63,7 +64,6 @@
 # A refusal by a daemon beside a backend server costs nothing there, so others may be asked;
 # three ask every server of a service of today's sizes that is worth asking.
 MAX_REFUSALS = 3
-SERVER_ERROR = 500
 SERVER_FAULTS = frozenset(
     {Reason.BACKEND_BROKE, Reason.BACKEND_REFUSED, Reason.BACKEND_UNREACHABLE, Reason.LINK_LOST}
 )
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -26,6 +26,7 @@
 )
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.quarantine import Quarantine
+from hornbeamgw.daemon.server_answer import SERVER_ERROR
 from hornbeamgw.daemon.server_exchange import MAX_WAIT_MS, ServerExchange
 
 __all__ = ["Announcement", "Gate"]
@@ -44,7 +45,6 @@
 NOBODY = Member("", "", "", 0)
 # A request that must run apart is told to come back after a short request of another's.
 RETRY_AFTER_APART_MS = 20
-SERVER_ERROR = 500
 
 
 class Gate:
--- a/hornbeamgw/daemon/server_answer.py
+++ b/hornbeamgw/daemon/server_answer.py
@@ -16,6 +16,8 @@
 
 # Another server may be asked at once; one that is full is asked again after a short request.
 RETRY_AFTER_REFUSED_MS = 20
+# From this status on a server says that it failed; below it has done its work.
+SERVER_ERROR = 500
 
 
 class Head(NamedTuple):
--- a/properties/quarantine_machine.py
+++ b/properties/quarantine_machine.py
@@ -9,23 +9,16 @@
 
 import random
 
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from hornbeamgw.core import quarantine
 from hornbeamgw.core.finding import MOST_FINDINGS, Finding, FindingKind
 from hornbeamgw.core.quarantine import QuarantineState
+from properties.runs_machine import PROFILE as RUNS_PROFILE
 
-PROFILE = settings(
-    max_examples=200,
-    stateful_step_count=60,
-    deadline=None,
-    derandomize=True,
-    database=None,
-    phases=(Phase.generate, Phase.shrink),
-    suppress_health_check=list(HealthCheck),
-)
+PROFILE = settings(RUNS_PROFILE, stateful_step_count=60)
 DAEMONS = 5
 CAUSE = 1
 OTHERS = range(2, 8)
