Keep a gate for each backend server beside a daemon, told apart by their ports

Cause: registration held one server beside a daemon, so a heartbeat of the next version, started alongside at another address of the VM, took the place of the old one; all of the VM's traffic went to a version that nobody had tried yet. Tried on the code before: after heartbeats of i-1 at one address and i-2 at another only i-2 is believed to live there.

Ruled out: numbers in the order of hearing, since a restarted daemon would deal them anew and a caller's call could reach another version; records per server, since each would be probed.

Change: states and gates by address; a member's record describes its first server and lists further ones; calls, questions and inquiries name the server by its port; rows keep all servers, and all are adopted after a restart. One server is the case of one gate. The check of adoption.feature on a spoilt row wraps the server in a list, as rows hold it now; reborn.feature looks at the one address that is known instead of the one state.

--- a/features/steps/adoption.py
+++ b/features/steps/adoption.py
@@ -17,6 +17,7 @@
 from hornbeamgw.daemon.adoption import Adoption
 from hornbeamgw.daemon.announcements import Announcements
 from hornbeamgw.daemon.gate import Gate
+from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
 from hornbeamgw.daemon.presence import TABLE, OwnRow
 
@@ -74,7 +75,7 @@
     context.gate = Gate(lambda: EMPTY, lambda: None)
     row = OwnRow(context.rows, Member(KEY, "suva-1", "fiji", 1))
     context.taker = Announcements(
-        context.gate, None, 10, 6.0, adoption=Adoption(row, b"x-instance-id")
+        Gates(lambda: context.gate), None, 10, 6.0, adoption=Adoption(row, b"x-instance-id")
     )
     context.writing = asyncio.create_task(row.run())
     try:
@@ -236,7 +237,7 @@
 
 @given("the row there has {fault}")
 def wrong_row(context, fault):
-    member, kept = msgspec.json.decode(context.rows.values[TABLE, KEY])
+    member, (kept,) = msgspec.json.decode(context.rows.values[TABLE, KEY])
     named = dict(zip(Announcement._fields, kept, strict=True))
-    wrong = msgspec.json.encode([member, list({**named, **WRONG.get(fault, {})}.values())])
+    wrong = msgspec.json.encode([member, [list({**named, **WRONG.get(fault, {})}.values())]])
     context.rows.values[TABLE, KEY] = wrong if fault in WRONG else b"\xff\x00"
--- a/features/steps/reborn.py
+++ b/features/steps/reborn.py
@@ -23,6 +23,7 @@
 from hornbeamgw.daemon.call import View
 from hornbeamgw.daemon.directory import members_of
 from hornbeamgw.daemon.gate import Gate
+from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.http1 import HttpClient
 from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
 from hornbeamgw.daemon.servers import Servers
@@ -237,7 +238,11 @@
     async def begin():
         context.gate = Gate(lambda: EMPTY, lambda: None)
         context.taker = Announcements(
-            context.gate, decoders_by_name["mesh"], 10, 6.0, lambda name: name == "roster"
+            Gates(lambda: context.gate),
+            decoders_by_name["mesh"],
+            10,
+            6.0,
+            lambda name: name == "roster",
         )
         context.server = HttpServer(context.taker.on_request, Timeouts())
         context.client = HttpClient(await context.server.start("127.0.0.1:0"), 2.0)
@@ -269,7 +274,8 @@
 
 @then('the server there is still "{instance}"')
 def still(context, instance):
-    assert context.taker.state.current.instance == instance
+    (state,) = context.taker.states_by_address.values()
+    assert state.current.instance == instance
     assert context.gate.announcement.instance == instance
 
 
--- a/hornbeamgw/core/balancing.py
+++ b/hornbeamgw/core/balancing.py
@@ -7,7 +7,13 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
-from hornbeamgw.core.membership import Member, ServerState, Status
+from hornbeamgw.core.membership import (
+    Member,
+    ServerState,
+    Status,
+    server_key,
+    with_each_server,
+)
 
 if TYPE_CHECKING:
     from hornbeamgw.core.placement import RouteTraits
@@ -41,11 +47,16 @@
 
 
 class Candidate(NamedTuple):
-    """Hold a backend server that may take an attempt."""
+    """Hold a backend server that may take an attempt, by the record that describes it alone."""
 
     member: Member
     load: Load
 
+    @property
+    def key(self) -> str:
+        """Return what tells this server from all others."""
+        return server_key(self.member)
+
 
 Policy = Callable[[Sequence[Candidate], float, random.Random], Candidate]
 policies_by_name: dict[str, Policy] = {}
@@ -114,10 +125,11 @@
 
 
 def serving(members: Collection[Member], service: str) -> list[Member]:
-    """Return the members whose backend server takes new work for a service."""
+    """Return the records of backend servers that take new work for a service, one for each."""
     return [
         m
-        for m in members
+        for member in members
+        for m in with_each_server(member)
         if m.service == service
         and m.server_state is ServerState.SERVING
         and m.status is not Status.LEFT
@@ -199,7 +211,7 @@
     rng: random.Random,
 ) -> Candidate | None:
     """Return a backend server: nearest with room first, and one not tried before if any."""
-    fresh = [c for c in candidates if c.member.address not in tried] or candidates
+    fresh = [c for c in candidates if c.key not in tried] or candidates
     tiers = _tiers(me, _without_ejected(fresh, now))
     for tier in tiers:
         with_room = [c for c in tier if _has_room(c)]
--- a/hornbeamgw/core/crossing.py
+++ b/hornbeamgw/core/crossing.py
@@ -98,7 +98,7 @@
     own = choice.me.data_centre
     if chosen.member.data_centre == own:
         return None
-    near = [c.member.address for c in choice.candidates if c.member.data_centre == own]
+    near = [c.key for c in choice.candidates if c.member.data_centre == own]
     if not near:
         return Why.NONE_NEAR
     return Why.NEAR_REFUSED if set(near) <= set(choice.tried) else Why.NEAR_LATE
--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -36,10 +36,22 @@
     DRAINING = 3
 
 
+class FurtherServer(NamedTuple):
+    """Hold a backend server that runs beside a daemon's first one, with its number there."""
+
+    number: int
+    service: str
+    state: ServerState
+    slots: int
+    started_ms: int = 0
+    software: str = ""
+
+
 class Member(NamedTuple):
-    """Hold one daemon and the backend server beside it; bandwidth in bytes/s, 0 if unknown.
+    """Hold one daemon and the backend servers beside it; bandwidth in bytes/s, 0 if unknown.
 
-    What was learned of a server holds for the run that was started at that Unix time (ms).
+    What was learned of a server holds for the run that was started at that Unix time (ms). The
+    server's number tells it from others beside the same daemon; software is the version it runs.
     """
 
     address: str
@@ -56,6 +68,46 @@
     bandwidth: int = 0
     server_started_ms: int = 0
     findings: tuple[Finding, ...] = ()
+    software: str = ""
+    server: int = 0
+    further_servers: tuple[FurtherServer, ...] = ()
+
+
+def with_each_server(member: Member) -> list[Member]:
+    """Return a record once for each backend server there, as if it were the only one."""
+    if not member.further_servers:
+        return [member]
+    alone = member._replace(further_servers=())
+    return [alone, *(_with_server(alone, server) for server in member.further_servers)]
+
+
+def _with_server(member: Member, server: FurtherServer) -> Member:
+    return member._replace(
+        service=server.service,
+        server_state=server.state,
+        slots=server.slots,
+        server_started_ms=server.started_ms,
+        software=server.software,
+        server=server.number,
+    )
+
+
+def without_servers(member: Member) -> Member:
+    """Return a record that says where a daemon is, and nothing of servers beside it."""
+    return member._replace(
+        service="",
+        server_state=ServerState.NONE,
+        slots=0,
+        server_started_ms=0,
+        software="",
+        server=0,
+        further_servers=(),
+    )
+
+
+def server_key(member: Member) -> str:
+    """Return what tells the server that a record describes from all others of the fleet."""
+    return f"{member.address}/{member.server}" if member.server else member.address
 
 
 class Probe(NamedTuple):
@@ -113,8 +165,6 @@
 RECONCILE_SPACING_PER_MEMBER_S = 0.03
 KEPT_CHANGES = 256
 KEPT_FINDINGS = 1024  # records with findings that have yet to be looked at
-# Status, service, state of the server and its slots: what calls are decided by.
-CHANGE_FIELDS = slice(5, 9)
 
 
 class _Pending(NamedTuple):
@@ -168,10 +218,16 @@
             state.view_hash ^= _record_hash(record)
 
 
+def _decides_calls(member: Member) -> tuple[object, ...]:
+    """Return what of a record calls are decided by."""
+    servers = (member.service, member.server_state, member.slots, member.further_servers)
+    return member.status, *servers
+
+
 def _store(state: MembershipState, member: Member, now: float, tell: bool = True) -> None:
     address = member.address
     held = state.members_by_address.get(address)
-    if held is None or held[CHANGE_FIELDS] != member[CHANGE_FIELDS]:
+    if held is None or _decides_calls(held) != _decides_calls(member):
         state.changes.append(Change(held, member))
     if member.findings and (held is None or held.findings != member.findings):
         state.findings_heard.append(member)
--- a/hornbeamgw/core/node.py
+++ b/hornbeamgw/core/node.py
@@ -388,5 +388,6 @@
 
 def leave(node: Node, moment: Moment, rng: random.Random) -> list[Effect]:
     """Tell the whole data centre that this daemon is gone, so that nobody relays by it."""
-    effects = change_me(node, moment, rng, status=Status.LEFT, server_state=ServerState.NONE)
+    none = {"server_state": ServerState.NONE, "further_servers": ()}
+    effects = change_me(node, moment, rng, status=Status.LEFT, **none)
     return effects + announce(node)
--- a/hornbeamgw/core/placement.py
+++ b/hornbeamgw/core/placement.py
@@ -107,7 +107,7 @@
 
 def fit(choice: Choice) -> list[Candidate]:
     """Return the servers not tried yet, those that were out of reach only if there is no other."""
-    untried = [c for c in choice.candidates if c.member.address not in choice.tried]
+    untried = [c for c in choice.candidates if c.key not in choice.tried]
     return [c for c in untried if c.load.ejected_until <= choice.now] or untried
 
 
--- a/hornbeamgw/core/registration.py
+++ b/hornbeamgw/core/registration.py
@@ -1,9 +1,10 @@
-"""Registration: which backend server lives beside this daemon, by the heartbeats it sends.
+"""Registration: which backend server lives at an address beside this daemon, by its heartbeats.
 
 A heartbeat may arrive late, even after its sender has died and another took its place, also under
 the same name: what tells its runs apart is when each was started. Sequence numbers order the
 heartbeats of one run; a run that left, began to drain, or turned out to be replaced never comes
-back, and neither does one that was started before the run which lives here now.
+back, and neither does one that was started before the run which lives here now. Servers that run
+side by side listen at addresses of their own; what was heard of each name is known at all of them.
 """
 
 from __future__ import annotations
@@ -59,6 +60,7 @@
     instance: str = ""
     warm_at: float = 0.0
     started_ms: int = 0
+    software: str = ""
 
 
 def is_same_run(before: Announcement | None, after: Announcement) -> bool:
@@ -81,18 +83,21 @@
 
 
 UNKNOWN = _Known(0, -1, False, False)
+KnownByInstance = OrderedDict[str, _Known]
 
 
 class RegistrationState:
-    """Hold the incarnation that is believed to live here, and those heard of before."""
+    """Hold the incarnation that is believed to live at an address, and those heard of before."""
 
-    def __init__(self) -> None:
-        """Start without a backend server."""
+    def __init__(self, known_by_instance: KnownByInstance | None = None) -> None:
+        """Start without a backend server; take what is known of those at other addresses."""
         self.current: Heartbeat | None = None
         self.heard_at = -math.inf
         self.latest_started_ms = 0
         self.warm_at = 0.0
-        self.known_by_instance: OrderedDict[str, _Known] = OrderedDict()
+        self.known_by_instance: KnownByInstance = (
+            OrderedDict() if known_by_instance is None else known_by_instance
+        )
 
 
 def _remember(state: RegistrationState, instance: str, known: _Known) -> None:
--- a/hornbeamgw/core/sampling.py
+++ b/hornbeamgw/core/sampling.py
@@ -60,7 +60,7 @@
 def _is_fit(choice: Choice, candidate: Candidate) -> bool:
     member, load = candidate
     usable = member.status is Status.ALIVE and load.ejected_until <= choice.now
-    return usable and member.address not in choice.tried
+    return usable and candidate.key not in choice.tried
 
 
 def _service(choice: Choice, candidate: Candidate) -> float:
--- a/hornbeamgw/daemon/admin.py
+++ b/hornbeamgw/daemon/admin.py
@@ -18,14 +18,15 @@
 from hornbeamgw.core.catalogue import Name, to_file
 from hornbeamgw.core.edit import Edit, Rejection, decode_delta
 from hornbeamgw.core.fingerprint import as_text
-from hornbeamgw.core.membership import ServerState
+from hornbeamgw.core.membership import ServerState, with_each_server
 from hornbeamgw.core.problems import Problem, check_mapping
 from hornbeamgw.core.snapshot import match
 from hornbeamgw.daemon import exposition
 from hornbeamgw.daemon.calls import Calls
 from hornbeamgw.daemon.committer import Committed, Committer
 from hornbeamgw.daemon.control import Control
-from hornbeamgw.daemon.gate import Announcement, Gate
+from hornbeamgw.daemon.gate import Announcement
+from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.http1 import HttpConnection
 from hornbeamgw.daemon.http_server import ADMIN_BODY_LIMIT, json_response, read_body, send_response
 from hornbeamgw.daemon.quarantine import Quarantine
@@ -58,7 +59,7 @@
         control: Control,
         reader: Reader,
         committer: Committer | None,
-        gate: Gate,
+        gates: Gates,
         calls: Calls,
         quarantine: Quarantine,
     ) -> None:
@@ -66,7 +67,7 @@
         self._control = control
         self._reader = reader
         self._committer = committer
-        self._gate = gate
+        self._gates = gates
         self._calls = calls
         self._quarantine = quarantine
         self._handlers_by_path: dict[str, Handler] = {
@@ -105,10 +106,10 @@
         """Return counters, gauges and histograms as text."""
         meter, state = self._control.meter, self._control.versions
         reads = {"reads": self._reader.reads, "errors": self._reader.errors}
-        gate = self._gate.state
+        gates = [gate.state for gate in self._gates.all]
         lines = [
             *exposition.counters("calls", self._calls.counts),
-            *exposition.counters("gate", self._gate.counts),
+            *exposition.counters("gate", self._gates.counts),
             *exposition.counters("platform", reads),
             *exposition.counters("quarantine", self._quarantine.counts),
             exposition.gauge("quarantined", len(self._quarantine.state.periods_by_fingerprint)),
@@ -120,9 +121,9 @@
             exposition.gauge("version_in_force", state.snapshot.version),
             exposition.gauge("ready", versions.is_ready(state)),
             exposition.gauge("members", len(membership.reachable(self._control.view))),
-            exposition.gauge("slots", gate.slots),
-            exposition.gauge("running", len(gate.running_by_attempt)),
-            exposition.gauge("waiting", len(gate.queue)),
+            exposition.gauge("slots", sum(gate.slots for gate in gates)),
+            exposition.gauge("running", sum(len(gate.running_by_attempt) for gate in gates)),
+            exposition.gauge("waiting", sum(len(gate.queue) for gate in gates)),
             *exposition.histograms(self._calls.histograms.rows()),
         ]
         return "\n".join([*lines, ""]).encode()
@@ -160,9 +161,12 @@
                 "service": m.service,
                 "server_state": m.server_state.name.lower(),
                 "slots": m.slots,
+                "software": m.software,
+                "server": m.server,
                 "version": m.version,
             }
-            for m in sorted(view.members_by_address.values())
+            for member in sorted(view.members_by_address.values())
+            for m in with_each_server(member)
         ]
         for member in members:
             if member["address"] == view.me.address:
@@ -210,6 +214,7 @@
                 "status": m.status.name.lower(),
                 "local": m.data_centre == self._control.view.me.data_centre,
                 "slots": m.slots,
+                "software": m.software,
             }
             for m in balancing.serving(members, route.service)
         ]
@@ -238,7 +243,7 @@
             "faults": meter.faults,
             "invariants": invariants.violations,
             "calls": self._calls.counts,
-            "gate": self._gate.counts,
+            "gate": self._gates.counts,
             "quarantine": self._quarantine.counts,
             "platform_reads": self._reader.reads,
             "members": len(membership.reachable(self._control.view)),
@@ -295,13 +300,13 @@
             ServerState[values["state"].upper()],
             asyncio.get_running_loop().time() + ttl,
         )
-        self._gate.announce(announcement)
+        self._gates.announce(announcement)
         return 200, {"renew_within_ms": values.get("ttl_ms", DEFAULT_TTL_MS)}
 
     async def _drain(self, query: Query, body: bytes) -> tuple[int, Any]:
         """Drain the backend server and answer when nothing of it is in flight."""
-        self._gate.drain("asked by an operator")
-        await self._gate.idle.wait()
+        self._gates.drain("asked by an operator")
+        await self._gates.wait_idle()
         return 200, {"drained": True}
 
 
--- a/hornbeamgw/daemon/adoption.py
+++ b/hornbeamgw/daemon/adoption.py
@@ -1,4 +1,4 @@
-"""Adoption: takes up the server beside a daemon again right after the daemon's own restart.
+"""Adoption: takes up the servers beside a daemon again right after the daemon's own restart.
 
 A server tells of itself every second or two, and until then a restarted daemon would turn away all
 that is meant for it; where all daemons restart at once, that is the whole service. What the server
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable, Sequence
 
 import h11
 
@@ -24,19 +25,19 @@
 
 
 class Adoption:
-    """Ask after the server that a daemon's row names."""
+    """Ask after the servers that a daemon's row names."""
 
     def __init__(self, row: OwnRow, instance_header: bytes) -> None:
         """Take this daemon's own row, and the header in which a server names itself."""
         self._row = row
         self._instance_header = instance_header
 
-    def note(self, announcement: Announcement | None) -> None:
-        """Keep what the server says of itself; None or a server that leaves is not kept."""
-        self._row.note(announcement)
+    def note(self, announcements: Iterable[Announcement]) -> None:
+        """Keep what the servers here say of themselves; one that leaves is not kept."""
+        self._row.note(announcements)
 
-    async def last_known(self) -> Announcement | None:
-        """Return what the server said before this daemon's start, or None."""
+    async def last_known(self) -> Sequence[Announcement]:
+        """Return what the servers here said before this daemon's start."""
         return await self._row.last_known()
 
     async def is_there(self, known: Announcement, health_path: str) -> bool:
--- a/hornbeamgw/daemon/attempts.py
+++ b/hornbeamgw/daemon/attempts.py
@@ -47,10 +47,17 @@
     """Hold one attempt from its first frame to its last."""
 
     def __init__(
-        self, number: int, link: Link, load: Load, started: float, idempotent: bool = False
+        self,
+        number: int,
+        link: Link,
+        load: Load,
+        started: float,
+        idempotent: bool = False,
+        server: int = 0,
     ) -> None:
-        """Take the link that it runs on."""
+        """Take the link that it runs on, and the number of the server there."""
         self.idempotent = idempotent
+        self.server = server
         self.answered = False
         self.number = number
         self.link = link
@@ -115,10 +122,12 @@
             link.crossed = self._crossed
             self._links_by_address[address] = link
 
-    def start(self, link: Link, load: Load, now: float, idempotent: bool = False) -> Attempt:
-        """Return a new attempt on a link."""
+    def start(
+        self, link: Link, load: Load, now: float, idempotent: bool = False, server: int = 0
+    ) -> Attempt:
+        """Return a new attempt on a link, for a server by its number there."""
         self._next_number += 1
-        attempt = Attempt(self._next_number, link, load, now, idempotent)
+        attempt = Attempt(self._next_number, link, load, now, idempotent, server)
         self._attempts_by_number[attempt.number] = attempt
         if load.outstanding == 0:
             link.expect(now)
@@ -181,7 +190,7 @@
         """Ask on a new link what became of an attempt whose link was lost, within a time (s)."""
         timeout = max(RESOLVE_LEAST_S, min(RESOLVE_TIMEOUT_S, left))
         age_ms = max(0, round((now - attempt.started) * 1000))
-        question = frames.Question(attempt.number, age_ms)
+        question = frames.Question(attempt.number, age_ms, attempt.server)
         try:
             exchanged = await exchange(address, self._hello(), question, self._on_fault, timeout)
         except LinkLost as error:
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -60,7 +60,7 @@
     age_ms = round((now - load.reported_at) * 1000)
     failing = round(placement.failing(load, now), 2)
     wait_ms = round(load.wait * 1000)
-    return Placed(chosen.member.address, load.free_slots, wait_ms, age_ms, failing, why_far)
+    return Placed(chosen.key, load.free_slots, wait_ms, age_ms, failing, why_far)
 
 
 class Call:
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -266,7 +266,7 @@
     ) -> Failure | None:
         loop = asyncio.get_running_loop()
         address = chosen.member.address
-        call.tried.append(address)
+        call.tried.append(chosen.key)
         if call.why_far is not None:
             self.counts[f"far.{call.why_far.name.lower()}"] += 1
         call.placed.append(placed_at(chosen, call.why_far, loop.time()))
@@ -280,7 +280,8 @@
         remaining = call.deadline - now
         if remaining <= 0 or call.caller_gone:
             return self._too_late(call)
-        attempt = self._links.start(link, chosen.load, now, call.route.idempotent)
+        server = chosen.member.server
+        attempt = self._links.start(link, chosen.load, now, call.route.idempotent, server)
         call.current = attempt
         try:
             self._send_call(attempt, call, remaining)
@@ -310,6 +311,7 @@
             call.arrivals > 0,
             call.route.entry.limits,
             call.fingerprint,
+            attempt.server,
         )
         attempt.load.sent_since += 1
         attempt.link.send(frame)
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -9,7 +9,7 @@
 import capnp
 
 from hornbeamgw.core.finding import MOST_FINDINGS, MOST_FINGERPRINTS, Finding, FindingKind
-from hornbeamgw.core.membership import Member, ServerState, Status
+from hornbeamgw.core.membership import FurtherServer, Member, ServerState, Status
 from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.verdict import Failure, Reason, Verdict
 from hornbeamgw.daemon import frames
@@ -43,8 +43,24 @@
     out.admin = member.admin
     out.bandwidth = member.bandwidth
     out.serverStartedMs = member.server_started_ms
+    out.software = member.software
+    out.server = member.server
     if member.findings:
         _write_findings(out.init("findings", len(member.findings)), member.findings)
+    if member.further_servers:
+        servers = out.init("furtherServers", len(member.further_servers))
+        for index, server in enumerate(member.further_servers):
+            _write_further_server(servers[index], server)
+
+
+def _write_further_server(out: Any, server: FurtherServer) -> None:
+    out.number, out.service, out.state = server.number, server.service, int(server.state)
+    out.slots, out.startedMs, out.software = server.slots, server.started_ms, server.software
+
+
+def _read_further_server(raw: Any) -> FurtherServer:
+    state = ServerState(raw.state)
+    return FurtherServer(raw.number, raw.service, state, raw.slots, raw.startedMs, raw.software)
 
 
 def _write_findings(out: Any, findings: Sequence[Finding]) -> None:
@@ -78,6 +94,9 @@
         raw.bandwidth,
         raw.serverStartedMs,
         tuple(_read_finding(finding) for finding in raw.findings),
+        raw.software,
+        raw.server,
+        tuple(_read_further_server(server) for server in raw.furtherServers),
     )
 
 
@@ -116,6 +135,7 @@
     call.cameBack = f.came_back
     call.repeat = f.repeat
     call.fingerprint = f.fingerprint
+    call.server = f.server
     limits = call.init("limits")
     limits.slots, limits.reserved, limits.queue = f.limits
 
@@ -160,7 +180,7 @@
 
 def _write_question(out: Any, f: frames.Question) -> None:
     question = out.init("question")
-    question.attempt, question.ageMs = f.attempt, f.age_ms
+    question.attempt, question.ageMs, question.server = f.attempt, f.age_ms, f.server
 
 
 def _write_resolution(out: Any, f: frames.Resolution) -> None:
@@ -210,6 +230,7 @@
     request.aimMs = f.aim_ms
     request.priority = f.priority
     request.cameBack = f.came_back
+    request.server = f.server
 
 
 def _write_outlook(out: Any, f: frames.Outlook) -> None:
@@ -264,6 +285,7 @@
         c.repeat,
         Limits(c.limits.slots, c.limits.reserved, c.limits.queue),
         c.fingerprint,
+        c.server,
     )
 
 
@@ -292,6 +314,7 @@
         r.aimMs,
         r.priority,
         r.cameBack,
+        r.server,
     )
 
 
@@ -308,7 +331,7 @@
     "refusal": _read_refusal,
     "credit": lambda c: frames.Credit(c.attempt, c.bytes),
     "cancel": frames.Cancel,
-    "question": lambda q: frames.Question(q.attempt, q.ageMs),
+    "question": lambda q: frames.Question(q.attempt, q.ageMs, q.server),
     "resolution": lambda r: frames.Resolution(r.attempt, r.mayHaveRun),
     "pull": frames.Pull,
     "deltas": lambda blobs: frames.Deltas(list(blobs)),
--- a/hornbeamgw/daemon/directory.py
+++ b/hornbeamgw/daemon/directory.py
@@ -16,7 +16,7 @@
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, RowStore, StoredRow
 from hornbeamgw.core import membership
-from hornbeamgw.core.membership import Member, ServerState, Status
+from hornbeamgw.core.membership import Member, Status
 from hornbeamgw.core.rendezvous import top
 from hornbeamgw.daemon.control import Control
 from hornbeamgw.daemon.presence import (
@@ -53,11 +53,6 @@
     return found
 
 
-def _without_server(member: Member) -> Member:
-    """Return a record that says where a daemon is, and nothing that may have changed since."""
-    return member._replace(service="", server_state=ServerState.NONE, slots=0, server_started_ms=0)
-
-
 def ended_rows(page: RowPage, members_by_address: dict[str, Member]) -> list[StoredRow]:
     """Return the rows of daemons that are believed to have ended."""
     ended = []
@@ -143,7 +138,7 @@
 
     async def _meet(self, found: list[Member]) -> None:
         known = self._control.view.members_by_address
-        fresh = found if self._is_first_start else [_without_server(m) for m in found]
+        fresh = found if self._is_first_start else list(map(membership.without_servers, found))
         self._control.meet([m for m in fresh if m.address not in known])
         others = self._rng.sample(found, min(PEERS_TO_JOIN, len(found)))
         if self._is_first_start:
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -34,7 +34,8 @@
 
     The objective (ms) is what is left of it, and the aim its whole; what is left may be negative.
     The limits are those of the entry in the caller's snapshot, for a receiver that has none yet.
-    The fingerprint is that of the request, 0 where the caller's daemon tells none.
+    The fingerprint is that of the request, 0 where the caller's daemon tells none. The server is
+    known by its number beside the receiver.
     """
 
     attempt: int
@@ -55,6 +56,7 @@
     repeat: bool = False
     limits: Limits = NO_LIMITS
     fingerprint: int = fingerprint.UNKNOWN
+    server: int = 0
 
 
 class Body(NamedTuple):
@@ -108,6 +110,7 @@
 
     attempt: int
     age_ms: int
+    server: int = 0
 
 
 class Resolution(NamedTuple):
@@ -129,6 +132,7 @@
     aim_ms: int
     priority: int
     came_back: bool
+    server: int = 0
 
 
 class Outlook(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -178,6 +178,10 @@
         else:
             self._on_cancel(attempt)
 
+    def holds(self, attempt: AttemptId) -> bool:
+        """Return whether an attempt waits or runs here."""
+        return attempt in self._attempts
+
     def on_lost(self, link: Link) -> None:
         """Go on with what runs; the other side asks on a new link what became of it."""
         for attempt in self._attempts.values():
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -19,7 +19,7 @@
 from hornbeamgw.core import balancing, membership, retry_budget, versions
 from hornbeamgw.core.dialect import Dialect, dialects_by_name
 from hornbeamgw.core.finding import Finding
-from hornbeamgw.core.membership import Member, ServerState
+from hornbeamgw.core.membership import Member
 from hornbeamgw.core.options import Settings, split_address
 from hornbeamgw.core.retry_budget import Bound, BudgetState
 from hornbeamgw.core.snapshot import Snapshot
@@ -34,6 +34,7 @@
 from hornbeamgw.daemon.directory import Directory
 from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.gate import Gate
+from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.http1 import HttpConnection
 from hornbeamgw.daemon.http_server import (
     ADMIN_BODY_LIMIT,
@@ -98,18 +99,20 @@
         self.reader = Reader(self.control, source, rng, directory)
         self.committer = _committer(self.control, self.reader, platform, rng)
         pacer = Pacer(me.bandwidth)
-        self.gate = Gate(
-            self._snapshot,
-            self._on_server_change,
-            dialect,
-            settings.calls_queueing,
-            pacer,
-            self.quarantine,
+        self.gates = Gates(
+            lambda: Gate(
+                self._snapshot,
+                self._on_server_change,
+                dialect,
+                settings.calls_queueing,
+                pacer,
+                self.quarantine,
+            )
         )
         crossed = self.control.meter.crossed
         self.links = Links(lambda: self.control.hello, self.control.fault, crossed)
         choose = balancing.chooser_of(settings.calls_balancing)
-        servers = Servers(self.links, choose, rng, self.gate.own_outlook)
+        servers = Servers(self.links, choose, rng, self.gates.own_outlook)
         replay_limit = round(settings.calls_replay_limit)
         identity = Identity(dialect, settings.server_service)
         bound = Bound(settings.budget_ratio, settings.budget_slack, settings.budget_window)
@@ -122,25 +125,30 @@
             rng,
             identity,
             self.budget,
-            self.gate.repeat_share,
+            self.gates.repeat_share,
             pacer,
             self.quarantine,
         )
-        self.peers = PeerServer(self.control, self.reader, self.gate)
+        self.peers = PeerServer(self.control, self.reader, self.gates)
         self.callers = HttpServer(self.calls.on_request, timeouts)
         admin = Admin(
-            self.control, self.reader, self.committer, self.gate, self.calls, self.quarantine
+            self.control, self.reader, self.committer, self.gates, self.calls, self.quarantine
         )
         self.admin = HttpServer(admin.on_request, timeouts)
         self.metrics = HttpServer(admin.on_request, timeouts)
         self.ready = HttpServer(self._on_ready_request, timeouts)
         self.adoption = _adoption(settings, own_row, dialect)
-        self._taker = _taker(settings, self.gate, self._is_service, self.adoption)
+        self._taker = _taker(settings, self.gates, self._is_service, self.adoption)
         self.announcements = _announcements(settings, self._taker, timeouts)
         self._stop_signals = 0
         self._stop = asyncio.Event()
         self._cut = asyncio.Event()
 
+    @property
+    def gate(self) -> Gate:
+        """Return the gate of the server here, the first of several."""
+        return self.gates.first
+
     def _snapshot(self) -> Snapshot:
         return self.control.versions.snapshot
 
@@ -161,16 +169,7 @@
         )
 
     def _on_server_change(self) -> None:
-        announced = self.gate.announcement
-        if announced is None:
-            self.control.update_me(service="", server_state=ServerState.NONE, slots=0)
-            return
-        self.control.update_me(
-            service=announced.service,
-            server_state=announced.state,
-            slots=announced.slots,
-            server_started_ms=announced.started_ms,
-        )
+        self.control.update_me(**self.gates.record())
 
     def _publish_findings(
         self, findings: tuple[Finding, ...], kept: tuple[Finding, ...], is_urgent: bool
@@ -228,7 +227,7 @@
         while True:
             await asyncio.sleep(CHECK_EVERY_S)
             self.links.check(loop.time())
-            self.gate.expire(loop.time())
+            self.gates.expire(loop.time())
             self.quarantine.expire(loop.time())
             retry_budget.note_members(self.budget, len(membership.reachable(self.control.view)))
 
@@ -239,7 +238,7 @@
             counts = {f"control.out.{kind}": n for kind, n in meter.bytes_out.items()}
             counts |= {f"control.in.{kind}": n for kind, n in meter.bytes_in.items()}
             counts |= dict(self.calls.counts) | {
-                f"gate.{k}": n for k, n in self.gate.counts.items()
+                f"gate.{k}": n for k, n in self.gates.counts.items()
             }
             gauges = {"version": self.control.versions.snapshot.version}
             gauges["members"] = len(membership.reachable(self.control.view))
@@ -267,7 +266,7 @@
         if self.settings.calls_leave_after:
             wait = asyncio.create_task(self._cut.wait())
             await asyncio.wait([wait], timeout=self.settings.calls_leave_after)
-        self.gate.stop()
+        self.gates.stop()
         drained = asyncio.create_task(self._wait_until_idle())
         cut = asyncio.create_task(self._cut.wait())
         limit = self.settings.calls_drain_limit
@@ -281,15 +280,15 @@
 
     async def _wait_until_idle(self) -> None:
         await asyncio.sleep(GRACE_AFTER_DRAIN_S)
-        await self.gate.idle.wait()
+        await self.gates.wait_idle()
         self.callers.stop_accepting()
         while self.callers.connections:
             self.callers.close_idle()
             await asyncio.sleep(0.01)
-        await self.gate.idle.wait()
+        await self.gates.wait_idle()
 
     def _unfinished(self) -> list[str]:
-        return [*self.gate.cut_off(), f"{len(self.callers.connections)} connections of callers"]
+        return [*self.gates.cut_off(), f"{len(self.callers.connections)} connections of callers"]
 
     async def _close(self) -> None:
         self.callers.abort()
@@ -330,7 +329,7 @@
 
 def _taker(
     settings: Settings,
-    gate: Gate,
+    gates: Gates,
     is_service: Callable[[str], bool],
     adoption: Adoption | None,
 ) -> Announcements | None:
@@ -338,7 +337,7 @@
         return None
     decode = decoders_by_name[settings.calls_dialect]
     connections, ttl = settings.server_connections, settings.server_announce_ttl
-    return Announcements(gate, decode, connections, ttl, is_service, adoption)
+    return Announcements(gates, decode, connections, ttl, is_service, adoption)
 
 
 def _announcements(
--- a/hornbeamgw/daemon/outlooks.py
+++ b/hornbeamgw/daemon/outlooks.py
@@ -71,9 +71,13 @@
         self._next_number = self._next_number % 0xFFFFFFFF + 1
         number = self._next_number
         self._inquiries_by_number[number] = inquiry
-        payload = codec.encode_frame(request._replace(number=number))
-        for link in candidates_by_link:
-            link.send_encoded(payload)
+        payloads_by_server: dict[int, bytes] = {}
+        for link, candidate in candidates_by_link.items():
+            server = candidate.member.server
+            if server not in payloads_by_server:
+                asked = request._replace(number=number, server=server)
+                payloads_by_server[server] = codec.encode_frame(asked)
+            link.send_encoded(payloads_by_server[server])
         try:
             await asyncio.wait([inquiry.decided], timeout=ALL_WITHIN_S)
             if not inquiry.takers and not inquiry.refusers:
--- a/hornbeamgw/daemon/peers.py
+++ b/hornbeamgw/daemon/peers.py
@@ -7,7 +7,7 @@
 from hornbeamgw.core.options import split_address
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.control import Control
-from hornbeamgw.daemon.gate import Gate
+from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.reader import Reader
 
@@ -15,11 +15,11 @@
 class PeerServer:
     """Own the listening socket for links."""
 
-    def __init__(self, control: Control, reader: Reader, gate: Gate) -> None:
+    def __init__(self, control: Control, reader: Reader, gates: Gates) -> None:
         """Take who answers what."""
         self._control = control
         self._reader = reader
-        self._gate = gate
+        self._gates = gates
         self._server: asyncio.Server | None = None
         self.links: set[Link] = set()
 
@@ -37,7 +37,7 @@
 
     def _on_lost(self, link: Link) -> None:
         self.links.discard(link)
-        self._gate.on_lost(link)
+        self._gates.on_lost(link)
 
     def _on_frame(self, link: Link, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Pull):
@@ -47,7 +47,7 @@
         elif isinstance(frame, frames.FloorRequest):
             self._control.spawn(self._answer_floor(link, frame.address))
         else:
-            self._gate.on_frame(link, frame)
+            self._gates.on_frame(link, frame)
 
     def _answer(self, link: Link, kind: str, answer: frames.Frame | None) -> None:
         if answer is None:
--- a/hornbeamgw/daemon/presence.py
+++ b/hornbeamgw/daemon/presence.py
@@ -1,15 +1,15 @@
-"""Presence: the row by which a daemon is found, with what the server beside it last said.
+"""Presence: the row by which a daemon is found, with what the servers beside it last said.
 
-One row holds both, so that whoever reads the directory at its start finds its own server in it, and
-a daemon that restarts where nothing changed writes nothing at all: a store that all daemons of a
-fleet share is asked once for each start.
+One row holds both, so that whoever reads the directory at its start finds its own servers in it,
+and a daemon that restarts where nothing changed writes nothing at all: a store that all daemons of
+a fleet share is asked once for each start.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -30,6 +30,7 @@
 BACKOFF_S = 0.1
 BACKOFF_MAX_S = 1.0  # a store that is back is asked again well within 2 s
 MOST_SLOTS = 0xFFFF  # what a member's record carries
+MOST_SERVERS = 8
 
 # What messages between daemons can carry.
 _MOST_BY_FIELD = {
@@ -43,15 +44,15 @@
 
 
 class Presence(NamedTuple):
-    """Hold a daemon's record and what its server said last, None where that does not serve."""
+    """Hold a daemon's record and what those of its servers that serve said last."""
 
     member: Member
-    server: Announcement | None = None
+    servers: tuple[Announcement, ...] = ()
 
 
 _encode = msgspec.json.encode
 _decoder = msgspec.json.Decoder(tuple[Member, msgspec.Raw])
-_server_decoder = msgspec.json.Decoder(Announcement | None)
+_servers_decoder = msgspec.json.Decoder(tuple[Announcement, ...] | None)
 
 
 def member_of(row: StoredRow) -> Member:
@@ -63,6 +64,8 @@
         value = getattr(member, name)
         if not 0 <= value <= most:
             raise ValueError(f"{name} {value!r}, expected 0 to {most}")
+    if len(member.further_servers) >= MOST_SERVERS:
+        raise ValueError(f"{member.further_servers!r}, expected fewer than {MOST_SERVERS}")
     _check_findings(member.findings)
     return member
 
@@ -79,17 +82,16 @@
             raise ValueError(f"fingerprints {finding.fingerprints!r}, expected 0 to 2**64 - 1")
 
 
-def server_of(row: StoredRow) -> Announcement | None:
-    """Return the server in a row; raise ValueError where another writer put something else."""
+def servers_of(row: StoredRow) -> tuple[Announcement, ...]:
+    """Return the servers in a row; raise ValueError where another writer put something else."""
     _, raw = _decoder.decode(row.value or b"")
-    known = _server_decoder.decode(raw)
-    if known is None:
-        return None
-    if not is_address(known.address):
-        raise ValueError(f"address {known.address!r}, expected an IP number and a port")
-    if not 1 <= known.slots <= MOST_SLOTS:
-        raise ValueError(f"slots {known.slots!r}, expected 1 to {MOST_SLOTS}")
-    return known
+    servers = _servers_decoder.decode(raw) or ()
+    for known in servers:
+        if not is_address(known.address):
+            raise ValueError(f"address {known.address!r}, expected an IP number and a port")
+        if not 1 <= known.slots <= MOST_SLOTS:
+            raise ValueError(f"slots {known.slots!r}, expected 1 to {MOST_SLOTS}")
+    return servers
 
 
 def _place_of(member: Member) -> tuple[str, str, int]:
@@ -107,7 +109,7 @@
         self._on_findings = on_findings
         self._rows = rows
         self._me = me
-        self._server: Announcement | None = None
+        self._servers: tuple[Announcement, ...] = ()
         self._stored: Presence | None = None
         self._looked_up = asyncio.Event()
         self._changed = asyncio.Event()
@@ -118,16 +120,15 @@
             self._stored = _presence_of(row)
         self._looked_up.set()
 
-    async def last_known(self) -> Announcement | None:
-        """Return what the server said before this daemon's start, or None."""
+    async def last_known(self) -> Sequence[Announcement]:
+        """Return what the servers here said before this daemon's start."""
         await self._looked_up.wait()
-        return None if self._stored is None else self._stored.server
+        return () if self._stored is None else self._stored.servers
 
-    def note(self, announcement: Announcement | None) -> None:
-        """Take what the server says of itself; None or a server that leaves is not kept."""
-        if announcement is not None and announcement.state is not ServerState.SERVING:
-            announcement = None
-        self._server = announcement and announcement._replace(expires_at=0.0, warm_at=0.0)
+    def note(self, announcements: Iterable[Announcement]) -> None:
+        """Take what the servers here say of themselves; one that leaves is not kept."""
+        serving = (known for known in announcements if known.state is ServerState.SERVING)
+        self._servers = tuple(known._replace(expires_at=0.0, warm_at=0.0) for known in serving)
         self._changed.set()
 
     def note_findings(self, findings: tuple[Finding, ...]) -> None:
@@ -150,7 +151,7 @@
         stored = self._stored
         if stored is None or _place_of(stored.member) != _place_of(self._me):
             return False
-        return stored.server == self._server and stored.member.findings == self._me.findings
+        return stored.servers == self._servers and stored.member.findings == self._me.findings
 
     async def run(self) -> None:
         """Keep the row up to date, once the server had time to tell of itself."""
@@ -171,7 +172,7 @@
         """Write the row where the store holds another, until the store has taken it."""
         failures = 0
         while not self._is_stored():
-            wanted = Presence(self._me, self._server)
+            wanted = Presence(self._me, self._servers)
             try:
                 await self._rows.write(TABLE, self._me.address, _encode(wanted))
                 self._stored = wanted
@@ -183,7 +184,7 @@
 
 def _presence_of(row: StoredRow) -> Presence | None:
     try:
-        return Presence(member_of(row), server_of(row))
+        return Presence(member_of(row), servers_of(row))
     except ValueError as error:
         log.warning("own row unreadable", extra={"key": row.key, "error": str(error)})
         return None
--- a/hornbeamgw/daemon/servers.py
+++ b/hornbeamgw/daemon/servers.py
@@ -8,7 +8,7 @@
 
 from hornbeamgw.core import balancing, crossing, placement, sampling, subsetting
 from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load
-from hornbeamgw.core.membership import Member
+from hornbeamgw.core.membership import Member, server_key
 from hornbeamgw.core.placement import PlacementState, RouteTraits
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.attempts import Links
@@ -38,7 +38,7 @@
         self._choose = choose
         self._rng = rng
         self._placement = PlacementState()
-        self._loads_by_address: dict[str, tuple[int, Load]] = {}
+        self._loads_by_key: dict[str, tuple[int, Load]] = {}
         self._serving_at = -1
         self._candidates_by_service: dict[str, list[Candidate]] = {}
 
@@ -49,7 +49,7 @@
     def has_other(self, call: Call, view: View, now: float) -> bool:
         """Return whether there is a server that a call has not been sent to."""
         candidates = self._candidates(view, call.service, now)
-        return any(c.member.address not in call.tried for c in candidates)
+        return any(c.key not in call.tried for c in candidates)
 
     def _candidates(self, view: View, service: str, now: float) -> list[Candidate]:
         """Return the servers that a call may go to, found anew only where the view has changed."""
@@ -66,10 +66,11 @@
 
     def _load(self, member: Member, now: float) -> Load:
         """Return what was seen of the server there; another run of it starts anew."""
-        started_ms, load = self._loads_by_address.get(member.address, (-1, None))
+        key = server_key(member)
+        started_ms, load = self._loads_by_key.get(key, (-1, None))
         if load is None or started_ms != member.server_started_ms:
             load = Load(now)
-            self._loads_by_address[member.address] = (member.server_started_ms, load)
+            self._loads_by_key[key] = (member.server_started_ms, load)
         return load
 
     def _choice(self, call: Call, view: View, now: float) -> Choice:
@@ -98,7 +99,7 @@
             asked = sampling.sample(choice, is_near, self._rng)
             told = await self._ask(call, [c for c in asked if c not in call.takers])
             call.takers += told.takers
-            call.tried += [c.member.address for c in told.refusers]
+            call.tried += [c.key for c in told.refusers]
             call.retry_after_ms = sooner(call.retry_after_ms, told.retry_after_ms)
             choice = choice._replace(now=asyncio.get_running_loop().time())
             found = self._best_taker(call, choice)
@@ -117,13 +118,13 @@
             told = await self._ask(call, [chosen])
             if not told.refusers:
                 return chosen
-            call.tried.append(chosen.member.address)
+            call.tried.append(chosen.key)
             call.retry_after_ms = sooner(call.retry_after_ms, told.retry_after_ms)
             choice = choice._replace(now=asyncio.get_running_loop().time())
         return None
 
     def _best_taker(self, call: Call, choice: Choice) -> Candidate | None:
-        takers = [c for c in call.takers if c.member.address not in call.tried]
+        takers = [c for c in call.takers if c.key not in call.tried]
         return sampling.best(choice, takers)
 
     def _ask_own(self, call: Call, choice: Choice) -> Candidate | None:
@@ -131,16 +132,18 @@
 
         Asking the others takes a frame and an answer each, and none could begin sooner.
         """
-        own = next((c for c in choice.candidates if c.member.address == choice.me.address), None)
-        if own is None or self._own_outlook is None or choice.me.address in call.tried:
+        beside = (c for c in choice.candidates if c.member.address == choice.me.address)
+        own = next((c for c in beside if c.key not in call.tried), None)
+        if own is None or self._own_outlook is None:
             return None
-        outlook = self._own_outlook(_question(call, choice.now))
+        outlook = self._own_outlook(_question(call, choice.now)._replace(server=own.member.server))
         placement.note_report(own.load, outlook.free_slots, outlook.wait_ms / 1000, choice.now)
         return own if is_as_good_as_any(own, outlook) else None
 
     async def _ask(self, call: Call, candidates: Sequence[Candidate]) -> Told:
         opened = [(c, self._links.open_link(c.member.address)) for c in candidates]
-        linked = {link: candidate for candidate, link in opened if link is not None}
+        # Of two servers beside one daemon the first is asked, since answers are told by their link.
+        linked = {link: candidate for candidate, link in reversed(opened) if link is not None}
         if not linked:
             return NOTHING_TOLD
         request = _question(call, asyncio.get_running_loop().time())
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -51,6 +51,7 @@
   repeat @15 :Bool;
   limits @16 :Limits;
   fingerprint @17 :UInt64;
+  server @18 :UInt16;
 }
 
 struct OutlookRequest {
@@ -63,6 +64,7 @@
   aimMs @6 :UInt32;
   priority @7 :UInt16;
   cameBack @8 :Bool;
+  server @9 :UInt16;
 }
 
 struct Outlook {
@@ -115,6 +117,7 @@
 struct Question {
   attempt @0 :UInt64;
   ageMs @1 :UInt32;
+  server @2 :UInt16;
 }
 
 struct Resolution {
@@ -142,6 +145,18 @@
   bandwidth @11 :UInt64;
   serverStartedMs @12 :UInt64;
   findings @13 :List(Finding);
+  software @14 :Text;
+  server @15 :UInt16;
+  furtherServers @16 :List(FurtherServer);
+}
+
+struct FurtherServer {
+  number @0 :UInt16;
+  service @1 :Text;
+  state @2 :UInt8;
+  slots @3 :UInt16;
+  startedMs @4 :UInt64;
+  software @5 :Text;
 }
 
 struct Finding {
