--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,16 @@
 import asyncio
 import sys
 
-from benchmarks import control, crossing, data, faults, overload, policies, start  # noqa: F401
+from benchmarks import (  # noqa: F401
+    control,
+    crossing,
+    data,
+    faults,
+    overload,
+    policies,
+    rollouts,
+    start,
+)
 from benchmarks.report import benchmarks_by_name
 
 
--- /dev/null
+++ b/benchmarks/rollouts.py
@@ -0,0 +1,83 @@
+"""Benchmark of rollouts in simulated time: good and bad versions, with troubles beside."""
+
+from __future__ import annotations
+
+import os
+import random
+from collections import Counter
+
+from benchmarks.report import emit, register, say
+from hornbeamgw.core.standing import Phase
+from hornbeamgw.testing.rollout_model import Badness, Load, Trouble, play
+
+RUNS = int(os.environ.get("RUNS", "200"))
+# Few servers with few requests, some with many, and a large service; two to four routes each.
+LOADS = (
+    Load(10, 4, 6, 60.0, ((0.7, 0.2), (0.3, 0.1))),
+    Load(11, 5, 6, 200.0, ((0.75, 0.06), (0.25, 0.12))),
+    Load(64, 14, 6, 420.0, ((0.6, 0.16), (0.3, 0.04), (0.1, 0.2))),
+    Load(64, 29, 6, 700.0, ((0.65, 0.04), (0.1, 0.13), (0.25, 0.64))),
+)
+TROUBLES = {
+    "none": Trouble(),
+    "faulty servers": Trouble(faulty_share=0.15),
+    "burst": Trouble(faulty_share=0.1, burst=1.4),
+    "platform away": Trouble(platform_away=True),
+    "leader ends": Trouble(leader_ends=True),
+    "restarts": Trouble(daemons_restart=0.5),
+}
+
+
+def badness_of(name: str, load: Load, rng: random.Random) -> Badness:
+    """Return a version that is bad in a way, drawn anew."""
+    share = rng.uniform(0.25, 0.6)
+    if name == "none":
+        return Badness()
+    if name == "at once":
+        return Badness(share)
+    if name == "slow":
+        return Badness(share, slow_times=rng.uniform(4.0, 8.0))
+    if name == "late":
+        return Badness(share, begins=rng.uniform(2.0, 7.0))
+    if name == "under load":
+        return Badness(share, only_above=0.5)
+    if name == "one route":
+        return Badness(max(0.4, share), route=rng.randrange(len(load.routes)))
+    raise ValueError(f"badness {name!r}")
+
+
+KINDS = tuple(os.environ.get("KINDS", "none,at once,slow,late,under load,one route").split(","))
+
+
+@register("rollouts")
+async def rollouts() -> None:
+    """Play rollouts of each badness with each trouble; count what must never happen."""
+    for kind in KINDS:
+        decided: Counter[str] = Counter()
+        over, late_requests, cut_off = 0, 0, []
+        exposed, times = [], []
+        for seed in range(RUNS):
+            rng = random.Random(f"{kind} {seed}")
+            load = LOADS[seed % len(LOADS)]
+            name = sorted(TROUBLES)[seed // len(LOADS) % len(TROUBLES)]
+            badness = badness_of(kind, load, rng)
+            duration = rng.uniform(10.0, 20.0)
+            outcome, seen = play(load, badness, TROUBLES[name], duration, seed)
+            is_right = outcome.phase is (Phase.DONE if kind == "none" else Phase.BACK)
+            in_time = is_right and outcome.decided_at <= duration
+            decided["right"] += is_right
+            decided["in time"] += in_time
+            over += outcome.is_over_bound
+            late_requests += outcome.sent_after_back
+            cut_off.append(outcome.cut_off)
+            exposed.append(outcome.exposed / (0.1 * outcome.reached + 50))
+            times.append(outcome.decided_at)
+            if not in_time or outcome.is_over_bound or outcome.sent_after_back:
+                say(
+                    f"{kind} {seed} {name} {load.servers} {duration:.1f} {badness} {outcome} {seen}"
+                )
+        figures = {"badness": kind, "right": decided["right"], "in_time": decided["in time"]}
+        figures |= {"over_bound": over, "after_back": late_requests}
+        emit("decided after", "s", times, **figures)
+        emit("part of the bound spent", "share", exposed, badness=kind)
+        emit("cut off at the end", "requests", cut_off, badness=kind)
--- a/hornbeamgw/backends/rows.py
+++ b/hornbeamgw/backends/rows.py
@@ -15,11 +15,15 @@
 
 
 class RowPage(NamedTuple):
-    """Hold rows as of one state of the store, and the store's steady clock (s)."""
+    """Hold rows as of one state of the store, and the store's steady clock (s).
+
+    States begin anew from an earlier one with each era of the store.
+    """
 
     rows: Sequence[StoredRow]
     state: int
     now: float
+    era: int = 0
 
 
 class RowStore(Protocol):
--- /dev/null
+++ b/hornbeamgw/core/exposure.py
@@ -0,0 +1,225 @@
+"""Exposure: which requests of a service go to a version that isn't known to be good.
+
+The bound holds for the whole fleet and without a coordinator: each daemon sends the new version a
+part of the requests that it has itself sent to servers of the service since it heard of the order,
+and its part of the slack. A daemon that hears nothing more goes on within that part, and one that
+has just started begins with nothing. So whoever leads the rollout, twice or not at all, can widen
+it no further than this.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import random
+from collections.abc import Collection, Sequence
+from typing import NamedTuple
+
+from hornbeamgw.core.membership import Member, server_key
+from hornbeamgw.core.standing import Phase, Standing, is_later
+
+# What is left unspent covers requests under way and daemons that hear of an order late.
+SHARE_SPENT = 0.9
+SLACK_SPENT = 0.7
+# The trial leaves the rest for the moment at which all requests move.
+TRIAL_PART = 0.4
+# Servers on trial take turns, one of so many at a time, and in each turn the trial is open for a
+# part only: so each is tried with its usual load and more, and a version that fails under load is
+# met. Beside, a few requests go to any of them, so that none stays idle until its turn comes.
+SERVERS_A_TURN = 25
+TURN_OPEN_PART = 0.5
+LEAST_TURN_S = 0.5
+SPREAD_SHARE = 0.01
+# A version whose first server has just appeared waits so long (s) for word of an order.
+NEWCOMER_S = 1.0
+# A daemon stops by itself once so many answers of a version were bad, and most of them.
+BAD_ENOUGH = 6
+KEPT_VERSIONS = 256
+
+Version = tuple[str, str]  # service and software
+
+
+class ExposureBound(NamedTuple):
+    """Hold what a version on trial may get: a share of a service's requests and some more."""
+
+    share: float
+    slack: float
+
+
+class _Spent:
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.reached = 0
+        self.sent = 0
+        self.answers = 0
+        self.bad = 0
+
+
+class Asked(NamedTuple):
+    """Hold what decides whether a request may try a version: its length (s), and if it is new."""
+
+    service: str
+    length: float
+    is_first_attempt: bool
+
+
+class ExposureState:
+    """Hold the standings that were heard of and what was sent to versions on trial."""
+
+    def __init__(self, bound: ExposureBound) -> None:
+        """Start without rollouts; take the bound for the whole fleet."""
+        self.bound = bound
+        self.members = 1
+        self.standings_by_version: dict[Version, Standing] = {}
+        self.current_by_service: dict[str, Standing] = {}
+        self.spent_by_version: dict[Version, _Spent] = {}
+        self.first_seen_by_version: dict[Version, float] = {}
+        self.generation = 0
+
+
+def hear(state: ExposureState, heard: Standing) -> bool:
+    """Take a standing and return whether it is news."""
+    version = heard.service, heard.target
+    held = state.standings_by_version.get(version)
+    if not is_later(heard, held):
+        return False
+    state.standings_by_version[version] = heard
+    state.generation += 1
+    if held is None or held.number != heard.number:
+        state.spent_by_version[version] = _Spent(heard.number)
+    current = state.current_by_service.get(heard.service)
+    if current is None or heard.number >= current.number:
+        state.current_by_service[heard.service] = heard
+    return True
+
+
+def note_members(state: ExposureState, members: int) -> None:
+    """Note the size of the fleet; the largest ever seen divides the slack."""
+    state.members = max(state.members, members)
+
+
+def note_seen(state: ExposureState, service: str, versions: Collection[str], now: float) -> None:
+    """Note which versions of a service have servers."""
+    for software in versions:
+        state.first_seen_by_version.setdefault((service, software), now)
+    while len(state.first_seen_by_version) > KEPT_VERSIONS:
+        del state.first_seen_by_version[next(iter(state.first_seen_by_version))]
+
+
+def note_reached(state: ExposureState, service: str) -> None:
+    """Count a request that reached a server of a service."""
+    current = state.current_by_service.get(service)
+    if current is not None and not current.is_final:
+        state.spent_by_version[service, current.target].reached += 1
+
+
+def note_sent(state: ExposureState, service: str, software: str) -> None:
+    """Count a request that is being sent to a version."""
+    spent = state.spent_by_version.get((service, software))
+    if spent is not None:
+        spent.sent += 1
+
+
+def note_answer(state: ExposureState, service: str, software: str, is_bad: bool) -> None:
+    """Take what became of a request that was sent to a version."""
+    spent = state.spent_by_version.get((service, software))
+    if spent is not None:
+        spent.answers += 1
+        spent.bad += is_bad
+
+
+def _looks_bad(spent: _Spent) -> bool:
+    return spent.bad >= BAD_ENOUGH and 2 * spent.bad > spent.answers
+
+
+def _has_room(state: ExposureState, standing: Standing, rng: random.Random) -> bool:
+    """Return whether one more request may go to a version on trial.
+
+    What is allowed is mostly a fraction; rounding it by chance makes the fleet's sum exact.
+    """
+    spent = state.spent_by_version[standing.service, standing.target]
+    if _looks_bad(spent):
+        return False
+    part = TRIAL_PART if standing.phase is Phase.TRIAL else 1.0
+    slack = SLACK_SPENT * state.bound.slack / state.members
+    allowed = part * (SHARE_SPENT * state.bound.share * spent.reached + slack)
+    return spent.sent + rng.random() <= allowed
+
+
+class Arm(enum.Enum):
+    """Say among which servers of a service one is chosen."""
+
+    BEFORE = "before"  # those that are not rolled out just now
+    TURN = "turn"  # those of the new version whose turn it is to be tried
+    NEW = "new"  # all of the new version
+
+
+def arm_of(state: ExposureState, asked: Asked, wall: float, rng: random.Random) -> Arm:
+    """Return among which servers one is chosen for a request, by the time of day (s)."""
+    current = state.current_by_service.get(asked.service)
+    if current is None or current.phase in (Phase.HELD, Phase.BACK):
+        return Arm.BEFORE
+    if current.phase is Phase.DONE:
+        return Arm.NEW
+    if not asked.is_first_attempt or not _has_room(state, current, rng):
+        return Arm.BEFORE
+    if current.phase is Phase.TRIAL:
+        turn = turn_of(current)
+        if wall % turn < TURN_OPEN_PART * turn:
+            return Arm.TURN
+        return Arm.NEW if rng.random() < SPREAD_SHARE else Arm.BEFORE
+    return Arm.NEW if asked.length * 1000 >= current.length_ms else Arm.BEFORE
+
+
+def turn_of(standing: Standing) -> float:
+    """Return how long (s) a turn of servers on trial lasts."""
+    return max(LEAST_TURN_S, standing.length_ms / 1000)
+
+
+def new_servers(state: ExposureState, service: str, servers: Sequence[Member]) -> list[Member]:
+    """Return the servers of the version that is rolled out."""
+    current = state.current_by_service.get(service)
+    return [] if current is None else [m for m in servers if m.software == current.target]
+
+
+def servers_before(
+    state: ExposureState, service: str, servers: Sequence[Member], now: float
+) -> list[Member]:
+    """Return the servers of versions that are in use, or that nobody has given an order for."""
+    usable = [m for m in servers if _is_open(state, service, m.software)]
+    settled = [m for m in usable if not _is_newcomer(state, service, m.software, usable, now)]
+    return settled or usable
+
+
+def _is_open(state: ExposureState, service: str, software: str) -> bool:
+    """Return whether a version is in use as far as orders go."""
+    standing = state.standings_by_version.get((service, software))
+    if standing is None:
+        return True
+    is_current = state.current_by_service[service].target == software
+    return standing.phase is Phase.DONE and not is_current
+
+
+def _is_newcomer(
+    state: ExposureState, service: str, software: str, servers: Sequence[Member], now: float
+) -> bool:
+    seen = state.first_seen_by_version.get((service, software), now)
+    others = {member.software for member in servers} - {software}
+    is_later = any(
+        state.first_seen_by_version.get((service, other), now) <= seen - NEWCOMER_S
+        for other in others
+    )
+    return is_later and now < seen + NEWCOMER_S
+
+
+def on_turn(servers: Sequence[Member], turn: float, wall: float) -> list[Member]:
+    """Return the servers whose turn (of so many s) it is to be tried, by the time of day (s).
+
+    Daemons whose clocks differ try others, which only spreads the load more thinly.
+    """
+    if not servers:
+        return []
+    ordered = sorted(servers, key=server_key)
+    width = math.ceil(len(ordered) / SERVERS_A_TURN)
+    first = int(wall / turn) * width
+    return [ordered[(first + index) % len(ordered)] for index in range(width)]
--- a/hornbeamgw/core/membership.py
+++ b/hornbeamgw/core/membership.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from hornbeamgw.core.finding import Finding
+from hornbeamgw.core.standing import Standing
 
 
 class Status(enum.IntEnum):
@@ -71,6 +72,7 @@
     software: str = ""
     server: int = 0
     further_servers: tuple[FurtherServer, ...] = ()
+    standings: tuple[Standing, ...] = ()
 
 
 def with_each_server(member: Member) -> list[Member]:
@@ -164,7 +166,7 @@
 # sides 6 ms at 195 members; so spaced, comparing them stays under 0.1% of a core at any size.
 RECONCILE_SPACING_PER_MEMBER_S = 0.03
 KEPT_CHANGES = 256
-KEPT_FINDINGS = 1024  # records with findings that have yet to be looked at
+KEPT_NEWS = 1024  # records with findings or standings that have yet to be looked at
 
 
 class _Pending(NamedTuple):
@@ -202,7 +204,7 @@
         self.next_nonce = 1
         self.generation = 0
         self.changes: deque[Change] = deque(maxlen=KEPT_CHANGES)
-        self.findings_heard: deque[Member] = deque(maxlen=KEPT_FINDINGS)
+        self.news: deque[Member] = deque(maxlen=KEPT_NEWS)
         self.view_hash = _record_hash(me)
         self.mismatches = 0
         self.reconciled_at = -RECONCILE_SPACING_S
@@ -218,6 +220,10 @@
             state.view_hash ^= _record_hash(record)
 
 
+def _news_of(member: Member) -> tuple[Finding | Standing, ...]:
+    return *member.findings, *member.standings
+
+
 def _decides_calls(member: Member) -> tuple[object, ...]:
     """Return what of a record calls are decided by."""
     servers = (member.service, member.server_state, member.slots, member.further_servers)
@@ -229,8 +235,8 @@
     held = state.members_by_address.get(address)
     if held is None or _decides_calls(held) != _decides_calls(member):
         state.changes.append(Change(held, member))
-    if member.findings and (held is None or held.findings != member.findings):
-        state.findings_heard.append(member)
+    if _news_of(member) and (held is None or _news_of(held) != _news_of(member)):
+        state.news.append(member)
     _rehash(state, held, member)
     state.members_by_address[address] = member
     if tell:
--- a/hornbeamgw/core/node.py
+++ b/hornbeamgw/core/node.py
@@ -25,6 +25,7 @@
     Timing,
 )
 from hornbeamgw.core.spreading import HIGHEST, LOWEST, Have, PullState, Push, Scope, Target
+from hornbeamgw.core.tally import Tally
 from hornbeamgw.core.versions import Learned, Origin, Path, VersionState
 
 URGENT_TARGETS = 4
@@ -36,7 +37,7 @@
 # A data centre of the two-year size holds 105 daemons; gossip reaches the rest.
 ANNOUNCE_MOST = 120
 
-Message = Probe | Ack | Indirect | Push | Have
+Message = Probe | Ack | Indirect | Push | Have | Tally
 
 
 class Moment(NamedTuple):
@@ -47,7 +48,7 @@
 
 
 class Envelope(NamedTuple):
-    """Hold a control message with the sender's version and gossip."""
+    """Hold a control message with the sender's version, gossip and the platform's era."""
 
     sender: str
     version: int
@@ -55,6 +56,7 @@
     view_hash: int
     gossip: Sequence[Member]
     message: Message
+    era: int = 0
 
 
 class Send(NamedTuple):
@@ -107,7 +109,31 @@
     sender: str
 
 
-Effect = Send | StartPull | StartReconcile | WakeAt | Report | Duplicate | Unanswered | Mismatch
+class EraBegan(NamedTuple):
+    """Tell that the platform has lost what it acknowledged of late."""
+
+    era: int
+
+
+class Tallied(NamedTuple):
+    """Tell what another daemon has counted at a server."""
+
+    sender: str
+    tally: Tally
+
+
+Effect = (
+    Send
+    | StartPull
+    | StartReconcile
+    | WakeAt
+    | Report
+    | Duplicate
+    | Unanswered
+    | Mismatch
+    | Tallied
+    | EraBegan
+)
 
 
 class _Sent(NamedTuple):
@@ -133,6 +159,7 @@
         self.pulls = PullState()
         self.sent_by_address: dict[str, _Sent] = {}
         self.hints: list[_Hint] = []
+        self.era: int | None = None  # of the platform's store, None until it is heard of
         self.pushed_version = 0  # the highest that another daemon pushed here
         self.covered: set[tuple[int, Scope, str, str]] = set()
 
@@ -152,17 +179,31 @@
         node.view.view_hash,
         gossip,
         message,
+        node.era or 0,
     )
 
 
+def note_era(node: Node, era: int) -> list[Effect]:
+    """Take the platform's era, as read or as heard; the first one heard of has no news."""
+    known = node.era
+    if known is not None and era <= known:
+        return []
+    node.era = era
+    return [] if known is None else [EraBegan(era)]
+
+
+def bare(node: Node, to: str, message: Message) -> Envelope:
+    """Return a message without gossip."""
+    return envelope(node, to, message, with_gossip=False)
+
+
 def _word_of_me(node: Node, to: str) -> Send:
     """Return one's own record for a member, alone: it goes to many at once.
 
     With the nine records of others that a probe carries it takes sender and receiver three times
     as much work, and a restart is told to 160 members of a fleet of 195.
     """
-    bare = envelope(node, to, Have(), with_gossip=False)
-    return Send(to, bare._replace(gossip=[node.view.me]))
+    return Send(to, bare(node, to, Have())._replace(gossip=[node.view.me]))
 
 
 def _send(node: Node, to: str, message: Message) -> Send:
@@ -310,10 +351,14 @@
     """Take a control message."""
     membership.merge(node.view, received.gossip, moment.now)
     effects = _note_sender(node, received)
+    if received.era:
+        effects += note_era(node, received.era)
     if membership.should_reconcile(node.view, received.view_hash, moment.now):
         effects.append(StartReconcile(received.sender))
     if isinstance(received.message, Push):
         effects += _on_push(node, received.sender, received.message, moment)
+    elif isinstance(received.message, Tally):
+        effects.append(Tallied(received.sender, received.message))
     elif not isinstance(received.message, Have):
         out = membership.receive(node.view, received.sender, received.message, moment.now)
         effects += _carry(node, out)
--- a/hornbeamgw/core/options.py
+++ b/hornbeamgw/core/options.py
@@ -62,6 +62,13 @@
     window: NotRequired[Duration]
 
 
+class RolloutsFile(TypedDict):
+    """Hold what a version on trial may get: a share of its service's requests and some more."""
+
+    share: NotRequired[Figure]
+    slack: NotRequired[Figure]
+
+
 class PluginsFile(TypedDict):
     """Hold which plug-ins register themselves, and the folder that they lie in."""
 
@@ -102,6 +109,7 @@
     plugins: NotRequired[PluginsFile]
     server: NotRequired[ServerFile]
     budget: NotRequired[BudgetFile]
+    rollouts: NotRequired[RolloutsFile]
     platform: PlatformFile
     membership: NotRequired[MembershipFile]
     calls: NotRequired[CallsFile]
@@ -136,6 +144,8 @@
     budget_ratio: float = 0.2
     budget_slack: float = 50.0
     budget_window: float = 10.0
+    rollouts_share: float = 0.1
+    rollouts_slack: float = 50.0
     platform_adapter: str = "http"
     platform_timeout: float = 1.0
     platform_poll: float = 2.0
--- a/hornbeamgw/core/rendezvous.py
+++ b/hornbeamgw/core/rendezvous.py
@@ -51,9 +51,14 @@
     return any(m.address == me.address for m in chosen)
 
 
-def is_pusher(me: Member, members: Sequence[Member], version: int, in_all: int = 0) -> bool:
-    """Return whether a reader is one of those that push a version, by turns."""
+def all_readers(members: Sequence[Member], in_all: int = 0) -> list[Member]:
+    """Return the members that read the platform for all data centres."""
     count = _count_of(members, in_all)
     data_centres = sorted({m.data_centre for m in members})
-    readers = [m for name in data_centres for m in _readers_of(name, members, count)]
+    return [m for name in data_centres for m in _readers_of(name, members, count)]
+
+
+def is_pusher(me: Member, members: Sequence[Member], version: int, in_all: int = 0) -> bool:
+    """Return whether a reader is one of those that push a version, by turns."""
+    readers = all_readers(members, in_all)
     return any(m.address == me.address for m in top(f"push {version}", readers, PUSHERS))
--- /dev/null
+++ b/hornbeamgw/core/standing.py
@@ -0,0 +1,51 @@
+"""Standing: how far a rollout has come, as records of daemons tell it."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+# Services that are rolled out at once are few; a record stays within one datagram.
+MOST_STANDINGS = 8
+NO_REQUEST_MS = 0xFFFF
+
+
+class Phase(enum.IntEnum):
+    """Say where the requests for a service go while a version of it is rolled out."""
+
+    HELD = 0  # to the servers of before alone
+    TRIAL = 1  # a small part to the new version
+    MOVING = 2  # the longest requests to the new version, then all
+    BACK = 3  # for good to the servers of before
+    DONE = 4  # for good to the new version
+
+
+class Standing(NamedTuple):
+    """Hold how far an order has come; the step rises with each change.
+
+    While requests are moving, those that are expected to take at least the length (ms) are moved;
+    during a trial it is how long servers have their turn.
+    """
+
+    service: str
+    target: str
+    number: int
+    phase: Phase
+    step: int = 0
+    length_ms: int = NO_REQUEST_MS
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether the order is decided."""
+        return self.phase >= Phase.BACK
+
+
+def _rank(standing: Standing) -> tuple[int, int, int]:
+    """Rank what is told of one order: what is decided wins, and what was written down most."""
+    decided = standing.phase if standing.is_final else 0
+    return standing.number, decided, standing.step
+
+
+def is_later(heard: Standing, held: Standing | None) -> bool:
+    """Return whether a standing takes the place of the one held for the same version."""
+    return held is None or _rank(heard) > _rank(held)
--- a/hornbeamgw/daemon/admin.py
+++ b/hornbeamgw/daemon/admin.py
@@ -31,6 +31,7 @@
 from hornbeamgw.daemon.http_server import ADMIN_BODY_LIMIT, json_response, read_body, send_response
 from hornbeamgw.daemon.quarantine import Quarantine
 from hornbeamgw.daemon.reader import Reader
+from hornbeamgw.daemon.rollouts import Rollouts
 
 log = logging.getLogger(__name__)
 
@@ -62,6 +63,7 @@
         gates: Gates,
         calls: Calls,
         quarantine: Quarantine,
+        rollouts: Rollouts,
     ) -> None:
         """Take the parts to ask."""
         self._control = control
@@ -70,6 +72,7 @@
         self._gates = gates
         self._calls = calls
         self._quarantine = quarantine
+        self._rollouts = rollouts
         self._handlers_by_path: dict[str, Handler] = {
             "GET /status": self._status,
             "GET /version": self._version,
@@ -80,6 +83,7 @@
             "GET /timeline": self._timeline,
             "GET /counters": self._counters,
             "GET /quarantine": self._quarantined,
+            "GET /rollouts": self._rolled_out,
             "POST /edits": self._edit,
             "PUT /announce": self._announce,
             "POST /drain": self._drain,
@@ -112,6 +116,7 @@
             *exposition.counters("gate", self._gates.counts),
             *exposition.counters("platform", reads),
             *exposition.counters("quarantine", self._quarantine.counts),
+            *exposition.counters("rollouts", self._rollouts.counts),
             exposition.gauge("quarantined", len(self._quarantine.state.periods_by_fingerprint)),
             *exposition.counters("control_bytes_in", meter.bytes_in),
             *exposition.counters("control_bytes_out", meter.bytes_out),
@@ -264,6 +269,9 @@
             for fingerprint, period in state.periods_by_fingerprint.items()
         ]
 
+    async def _rolled_out(self, query: Query, body: bytes) -> tuple[int, Any]:
+        return 200, self._rollouts.describe()
+
     async def _edit(self, query: Query, body: bytes) -> tuple[int, Any]:
         try:
             wanted = msgspec.json.decode(body, type=Edit)
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -10,8 +10,9 @@
 
 import h11
 
-from hornbeamgw.core import balancing, placement, retry_budget, retrying, returns, split
+from hornbeamgw.core import balancing, exposure, placement, retry_budget, retrying, returns, split
 from hornbeamgw.core.balancing import Candidate
+from hornbeamgw.core.exposure import ExposureState
 from hornbeamgw.core.retry_budget import BudgetState
 from hornbeamgw.core.returns import ReturnState
 from hornbeamgw.core.snapshot import match
@@ -90,6 +91,7 @@
         repeat_share: Callable[[], float],
         pacer: Pacer,
         quarantine: Quarantine,
+        exposed: ExposureState,
     ) -> None:
         """Take the view to decide on, the links to other daemons and what chooses servers."""
         self._identity = identity
@@ -98,6 +100,7 @@
         self._repeat_share = repeat_share
         self._pacer = pacer
         self._quarantine = quarantine
+        self._exposed = exposed
         self._splits = SplitState()
         self.counts: Counter[str] = Counter()
         self.histograms = Histograms()
@@ -285,11 +288,24 @@
         call.current = attempt
         try:
             self._send_call(attempt, call, remaining)
-            return await self._await_answer(connection, call, attempt, address)
+            exposure.note_sent(self._exposed, call.service, chosen.member.software)
+            failure = await self._await_answer(connection, call, attempt, address)
+            self._note_exposed(call, chosen, failure)
+            return failure
         finally:
             call.current = None
             self._links.end(attempt)
 
+    def _note_exposed(self, call: Call, chosen: Candidate, failure: Failure | None) -> None:
+        """Count a request that has reached a server, and what became of it."""
+        if failure is not None and failure.verdict is Verdict.NOT_RUN:
+            if failure.reached_server:
+                exposure.note_reached(self._exposed, call.service)
+            return
+        exposure.note_reached(self._exposed, call.service)
+        is_bad = call.status >= SERVER_ERROR if failure is None else failure.reason in SERVER_FAULTS
+        exposure.note_answer(self._exposed, call.service, chosen.member.software, is_bad)
+
     def _send_call(self, attempt: Attempt, call: Call, remaining: float) -> None:
         margin = min(GATE_MARGIN_MAX_S, remaining * GATE_MARGIN)
         frame = frames.Call(
@@ -312,6 +328,7 @@
             call.route.entry.limits,
             call.fingerprint,
             attempt.server,
+            round(self._servers.traits_of(call).service * 1000),
         )
         attempt.load.sent_since += 1
         attempt.link.send(frame)
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -11,6 +11,7 @@
 from hornbeamgw.core.finding import MOST_FINDINGS, MOST_FINGERPRINTS, Finding, FindingKind
 from hornbeamgw.core.membership import FurtherServer, Member, ServerState, Status
 from hornbeamgw.core.snapshot import Limits
+from hornbeamgw.core.standing import MOST_STANDINGS, Phase, Standing
 from hornbeamgw.core.verdict import Failure, Reason, Verdict
 from hornbeamgw.daemon import frames
 
@@ -51,6 +52,20 @@
         servers = out.init("furtherServers", len(member.further_servers))
         for index, server in enumerate(member.further_servers):
             _write_further_server(servers[index], server)
+    if member.standings:
+        standings = out.init("standings", len(member.standings))
+        for index, standing in enumerate(member.standings):
+            _write_standing(standings[index], standing)
+
+
+def _write_standing(out: Any, standing: Standing) -> None:
+    out.service, out.target, out.number = standing.service, standing.target, standing.number
+    out.phase, out.step, out.lengthMs = int(standing.phase), standing.step, standing.length_ms
+
+
+def _read_standing(raw: Any) -> Standing:
+    phase = Phase(raw.phase)
+    return Standing(raw.service, raw.target, raw.number, phase, raw.step, raw.lengthMs)
 
 
 def _write_further_server(out: Any, server: FurtherServer) -> None:
@@ -79,6 +94,8 @@
     """Return the record of a member in a message; raise ValueError where it is none."""
     if len(raw.findings) > MOST_FINDINGS:
         raise ValueError(f"{len(raw.findings)} findings, expected {MOST_FINDINGS} at most")
+    if len(raw.standings) > MOST_STANDINGS:
+        raise ValueError(f"{len(raw.standings)} standings, expected {MOST_STANDINGS} at most")
     return Member(
         raw.address,
         raw.dataCentre,
@@ -97,6 +114,7 @@
         raw.software,
         raw.server,
         tuple(_read_further_server(server) for server in raw.furtherServers),
+        tuple(_read_standing(standing) for standing in raw.standings),
     )
 
 
@@ -136,6 +154,7 @@
     call.repeat = f.repeat
     call.fingerprint = f.fingerprint
     call.server = f.server
+    call.typicalMs = f.typical_ms
     limits = call.init("limits")
     limits.slots, limits.reserved, limits.queue = f.limits
 
@@ -286,6 +305,7 @@
         Limits(c.limits.slots, c.limits.reserved, c.limits.queue),
         c.fingerprint,
         c.server,
+        c.typicalMs,
     )
 
 
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -15,6 +15,7 @@
 from hornbeamgw.core.node import Effect, Moment, Node
 from hornbeamgw.core.options import Settings, split_address
 from hornbeamgw.core.snapshot import Snapshot
+from hornbeamgw.core.tally import Tally
 from hornbeamgw.core.versions import Origin, Path, VersionState
 from hornbeamgw.daemon import codec, datagrams, frames
 from hornbeamgw.daemon.link import LinkLost, exchange
@@ -57,7 +58,9 @@
         self.meter = Meter()
         self.rng = rng
         self.on_applied: list[Callable[[Snapshot], None]] = []
-        self.on_findings: list[Callable[[Member], None]] = []
+        self.on_news: list[Callable[[Member], None]] = []
+        self.on_era: list[Callable[[int], None]] = []
+        self.on_tally: list[Callable[[str, Tally], None]] = []
         self.has_heard_others = False
         self.heard_at = 0.0  # when another daemon was heard of last, by the loop's clock
         self._fleet = datagrams.fleet_hash(settings.fleet)
@@ -123,12 +126,12 @@
             else:
                 self._note(effect)
         self._log_changes()
-        self._tell_findings()
+        self._tell_news()
 
-    def _tell_findings(self) -> None:
-        while self.view.findings_heard:
-            member = self.view.findings_heard.popleft()
-            for callback in self.on_findings:
+    def _tell_news(self) -> None:
+        while self.view.news:
+            member = self.view.news.popleft()
+            for callback in self.on_news:
                 callback(member)
 
     def _log_view(self, source: str) -> None:
@@ -139,7 +142,7 @@
             statuses = Counter(change.after.status.name for change in changes)
             told = {"source": source, "changed": len(changes), **statuses}
             log.info("view taken", extra={**told, "members": len(self.view.members_by_address)})
-        self._tell_findings()
+        self._tell_news()
 
     def _log_changes(self) -> None:
         """Tell what is newly believed of other daemons and the servers beside them."""
@@ -160,6 +163,13 @@
             self.meter.messages_in["duplicate_push"] += 1
         elif isinstance(effect, node.Unanswered):
             self.meter.faults["push without an answer"] += 1
+        elif isinstance(effect, node.EraBegan):
+            log.warning("the platform's store has begun a new era", extra={"era": effect.era})
+            for on_era in self.on_era:
+                on_era(effect.era)
+        elif isinstance(effect, node.Tallied):
+            for callback in self.on_tally:
+                callback(effect.sender, effect.tally)
         elif isinstance(effect, node.Mismatch):
             log.error("two catalogues of one version", extra={"sender": effect.sender})
 
@@ -225,6 +235,14 @@
                 await asyncio.sleep(interval / CHECKS_PER_PROBE)
                 self._check()
 
+    def note_era(self, era: int) -> None:
+        """Take the era of the platform's store, as it was read."""
+        self._carry(node.note_era(self.node, era))
+
+    def send_tally(self, to: Sequence[str], tally: Tally) -> None:
+        """Tell those who lead a rollout what was counted at a server."""
+        self._carry([node.Send(address, node.bare(self.node, address, tally)) for address in to])
+
     # Versions
 
     def learn_deltas(self, blobs: Sequence[bytes], origin: Origin) -> bool:
--- a/hornbeamgw/daemon/datagrams.py
+++ b/hornbeamgw/daemon/datagrams.py
@@ -10,6 +10,7 @@
 from hornbeamgw.core.membership import Ack, Indirect, Probe
 from hornbeamgw.core.node import Envelope, Message
 from hornbeamgw.core.spreading import Have, Push, Scope
+from hornbeamgw.core.tally import Count, Tally
 from hornbeamgw.daemon.codec import CodecError, read_member, schema, write_members
 
 
@@ -24,6 +25,18 @@
     raw.delta, raw.parent = push.delta, push.parent
 
 
+def _write_tally(out: Any, tally: Tally) -> None:
+    out.service, out.server, out.software = tally.service, tally.server, tally.software
+    counts = out.init("counts", len(tally.counts_by_route))
+    for index, (route, count) in enumerate(tally.counts_by_route.items()):
+        counts[index].route, counts[index].answers, counts[index].bad = route, *count
+
+
+def _read_tally(raw: Any) -> Tally:
+    counts_by_route = {count.route: Count(count.answers, count.bad) for count in raw.counts}
+    return Tally(raw.service, raw.server, raw.software, counts_by_route)
+
+
 def _write_message(out: Any, message: Message) -> None:
     if isinstance(message, Probe):
         out.probe = message.nonce
@@ -34,6 +47,8 @@
         indirect.nonce, indirect.target = message.nonce, message.target
     elif isinstance(message, Push):
         _write_push(out, message)
+    elif isinstance(message, Tally):
+        _write_tally(out.init("tally"), message)
     else:
         out.have = True
 
@@ -46,6 +61,7 @@
     out.version = datagram.version
     out.digest = datagram.digest
     out.viewHash = datagram.view_hash
+    out.era = datagram.era
     if datagram.gossip:
         write_members(out.init("gossip", len(datagram.gossip)), datagram.gossip)
     _write_message(out, datagram.message)
@@ -65,7 +81,7 @@
         push = raw.push
         scope = Scope(push.scope)
         return Push(push.version, scope, push.low, push.high, push.delta, push.parent)
-    return Have()
+    return _read_tally(raw.tally) if kind == "tally" else Have()
 
 
 def decode_datagram(fleet: int, payload: bytes) -> Envelope:
@@ -76,7 +92,8 @@
             raise CodecError("a datagram of another fleet")
         gossip = [read_member(member) for member in raw.gossip]
         message = _read_message(raw)
-        return Envelope(raw.sender, raw.version, raw.digest, raw.viewHash, gossip, message)
+        head = raw.sender, raw.version, raw.digest, raw.viewHash
+        return Envelope(*head, gossip, message, raw.era)
     except CodecError:
         raise
     except (capnp.KjException, ValueError, UnicodeError) as error:
--- a/hornbeamgw/daemon/directory.py
+++ b/hornbeamgw/daemon/directory.py
@@ -22,6 +22,7 @@
 from hornbeamgw.daemon.presence import (
     BACKOFF_MAX_S,
     BACKOFF_S,
+    REWRITE_WITHIN_S,
     SERVER_AWAITED_S,
     TABLE,
     OwnRow,
@@ -35,6 +36,7 @@
 # Where the whole fleet starts for the first time, all rows are there a moment after all servers
 # have told of themselves; each daemon then reads them once and needs to tell nobody.
 FIRST_READ_AFTER_S = SERVER_AWAITED_S + 0.5
+REWRITTEN_S = 0.3  # for a write, and for the daemons to hear of the store's new era
 # Probes go out once a second; a fleet of which none was heard of for so long has other rows by now.
 NOBODY_HEARD_S = 3.0
 # Once in two minutes at 950 daemons costs the one that sweeps two calls and 100 KB.
@@ -76,6 +78,8 @@
     ) -> None:
         """Take the control to feed, the rows, one's own, and whether the fleet is all new."""
         self.joined = asyncio.Event()
+        self.met = asyncio.Event()
+        self.is_empty = False  # nobody had a row when this daemon looked first
         self._control = control
         self._rows = rows
         self._rng = rng
@@ -114,19 +118,27 @@
             ceiling = min(BACKOFF_MAX_S, BACKOFF_S * 2**failures)
             await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
         if not found:
+            self.is_empty = True
             await self._own_row.write()
             found = await self._read_again()
+        if not found and self._control.node.era:
+            # A store that came back from a copy may have lost the rows; they are written again.
+            await asyncio.sleep(REWRITE_WITHIN_S + REWRITTEN_S)
+            found = await self._read_again()
         self.joined.set()
         await self._meet(found)
+        self.met.set()
 
     async def _read(self) -> list[Member]:
         """Return the other daemons that have a row; raise PlatformError."""
         own = self._control.view.me.address
         page = await self._rows.read(TABLE)
+        self._control.note_era(page.era)
         self._own_row.found(next((row for row in page.rows if row.key == own), None))
         found = [member for member in members_of(page) if member.address != own]
         self._own_row.tell_findings(page)
-        log.info("directory read", extra={"daemons": len(found), "state": page.state})
+        told = {"daemons": len(found), "state": page.state, "era": page.era}
+        log.info("directory read", extra=told)
         return found
 
     async def _read_again(self) -> list[Member]:
@@ -151,6 +163,8 @@
         try:
             page = await self._rows.read(TABLE)
             for row in ended_rows(page, self._control.view.members_by_address):
+                if page.era != (self._control.node.era or 0):
+                    return  # States of another era tell nothing of what is there now.
                 await self._rows.write(TABLE, row.key, None, row.state)
                 log.info("row of an ended daemon deleted", extra={"key": row.key})
         except PlatformError as error:
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -35,7 +35,8 @@
     The objective (ms) is what is left of it, and the aim its whole; what is left may be negative.
     The limits are those of the entry in the caller's snapshot, for a receiver that has none yet.
     The fingerprint is that of the request, 0 where the caller's daemon tells none. The server is
-    known by its number beside the receiver.
+    known by its number beside the receiver. What such a request typically takes (ms) is 0 where the
+    caller's daemon has seen none.
     """
 
     attempt: int
@@ -57,6 +58,7 @@
     limits: Limits = NO_LIMITS
     fingerprint: int = fingerprint.UNKNOWN
     server: int = 0
+    typical_ms: int = 0
 
 
 class Body(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -7,13 +7,14 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
-from hornbeamgw.core import admission, breaker
+from hornbeamgw.core import admission, breaker, tally
 from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
 from hornbeamgw.core.dialect import HORNBEAMGW, Dialect
 from hornbeamgw.core.fingerprint import as_text
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.registration import Announcement, is_renewal, is_same_run
 from hornbeamgw.core.snapshot import Limits, Snapshot
+from hornbeamgw.core.tally import Count
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.flow import Pacer
@@ -66,6 +67,7 @@
         self._last_run: Announcement | None = None
         self._ended_run: Announcement | None = None
         self.counts: Counter[str] = Counter()
+        self.counts_by_route: dict[str, Count] = {}
         self.exchange = ServerExchange(
             self.state, dialect, pacer or Pacer(), self.counts, self._on_stalled, self._on_end
         )
@@ -107,6 +109,7 @@
         """Drop what was learned of a run; where it is surely over, end what ran there."""
         log.info("another run of the backend server", extra={"why": why, "is_over": is_over})
         self.exchange.forget_run()
+        self.counts_by_route.clear()
         self.quarantine.forget_run()
         admission.forget_run(self.state)
         if not is_over:
@@ -360,6 +363,7 @@
             failure = task.result()
         now = asyncio.get_running_loop().time()
         log_end(attempt, failure, now)
+        self._tally(attempt, failure, now)
         if failure is None and attempt.status < SERVER_ERROR:
             self.quarantine.note_answered(attempt.call.fingerprint)
         if failure is not None and failure.reason in (Reason.CALLER_GONE, Reason.DEADLINE):
@@ -372,6 +376,30 @@
         self._end(attempt, failure)
         self._act(decisions)
 
+    def tally_overdue(self, now: float) -> None:
+        """Count what runs so long that its answer is slow whenever it comes."""
+        for attempt in self._attempts.values():
+            call = attempt.call
+            if attempt.task is None or attempt.is_tallied or attempt.answered_at:
+                continue
+            is_cold = attempt.started_at < self.state.warm_at
+            limit = tally.slow_after(call.typical_ms / 1000, call.aim_ms / 1000, is_cold)
+            if now - attempt.started_at > limit:
+                attempt.is_tallied = True
+                tally.note(self.counts_by_route, call.route, True)
+
+    def _tally(self, attempt: GateAttempt, failure: Failure | None, now: float) -> None:
+        """Count what became of an attempt, where that tells of its server."""
+        if attempt.is_tallied:
+            return
+        answered_at = attempt.answered_at or now
+        held, typical = answered_at - attempt.started_at, attempt.call.typical_ms / 1000
+        is_cold = attempt.started_at < self.state.warm_at
+        aim = attempt.call.aim_ms / 1000
+        bad = tally.is_bad(tally.Ended(failure, attempt.status, held, typical, aim, is_cold))
+        if bad is not None:
+            tally.note(self.counts_by_route, attempt.call.route, bad)
+
     def _end(self, attempt: GateAttempt, failure: Failure | None) -> None:
         """Forget an attempt once the rest of its answer is sent, or at once where it failed."""
         outgoing = attempt.outgoing
--- a/hornbeamgw/daemon/gate_attempt.py
+++ b/hornbeamgw/daemon/gate_attempt.py
@@ -37,6 +37,8 @@
         self.status = 0
         self.arrived_at = asyncio.get_running_loop().time()
         self.started_at = self.arrived_at
+        self.answered_at = 0.0
+        self.is_tallied = False
 
 
 def request_of(
--- a/hornbeamgw/daemon/gates.py
+++ b/hornbeamgw/daemon/gates.py
@@ -14,6 +14,7 @@
 from hornbeamgw.core.membership import FurtherServer, ServerState
 from hornbeamgw.core.options import split_address
 from hornbeamgw.core.registration import Announcement
+from hornbeamgw.core.tally import Tally
 from hornbeamgw.core.verdict import Reason, not_run
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.gate import RETRY_AFTER_NOT_READY_MS, Gate
@@ -100,6 +101,16 @@
             if gate.announcement is not None
         }
 
+    def tallies(self, now: float) -> list[Tally]:
+        """Return what was counted at each server here."""
+        for gate in self._gates_by_number.values():
+            gate.tally_overdue(now)
+        return [
+            Tally(known.service, number, known.software, dict(gate.counts_by_route))
+            for number, gate in self._gates_by_number.items()
+            if (known := gate.announcement) is not None
+        ]
+
     def record(self) -> dict[str, object]:
         """Return what this daemon's record says of the servers here."""
         announced = self.announced()
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -16,13 +16,15 @@
 import msgspec
 
 from hornbeamgw.backends import Platform, factories_by_name
-from hornbeamgw.core import balancing, membership, retry_budget, versions
+from hornbeamgw.core import balancing, exposure, membership, retry_budget, versions
 from hornbeamgw.core.dialect import Dialect, dialects_by_name
+from hornbeamgw.core.exposure import ExposureBound
 from hornbeamgw.core.finding import Finding
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.options import Settings, split_address
 from hornbeamgw.core.retry_budget import Bound, BudgetState
 from hornbeamgw.core.snapshot import Snapshot
+from hornbeamgw.core.standing import Standing
 from hornbeamgw.daemon import logs, loop, plugins, sources
 from hornbeamgw.daemon.admin import Admin
 from hornbeamgw.daemon.adoption import Adoption
@@ -48,7 +50,9 @@
 from hornbeamgw.daemon.quarantine import Quarantine
 from hornbeamgw.daemon.reader import Reader
 from hornbeamgw.daemon.reload import Reloader
+from hornbeamgw.daemon.rollouts import Leader, Rollouts, order_rows_by_name, send_tallies
 from hornbeamgw.daemon.servers import Servers
+from hornbeamgw.daemon.sources import Source, WatchedRowSource
 
 log = logging.getLogger(__name__)
 
@@ -89,14 +93,20 @@
         dialect = dialects_by_name[settings.calls_dialect]
         self.control = Control(settings, me, rng)
         self.quarantine = Quarantine(me, self._publish_findings)
-        self.control.on_findings.append(self.quarantine.hear)
+        self.control.on_news.append(self.quarantine.hear)
+        allowed = ExposureBound(settings.rollouts_share, settings.rollouts_slack)
+        self.rollouts = Rollouts(allowed, self._publish_standings)
+        self.control.on_news.append(self.rollouts.hear_member)
         source = sources.factories_by_name[settings.source](
             self.control, platform, settings.platform_poll, rng, settings.platform_adapter
         )
         own_row = None if platform.rows is None else OwnRow(platform.rows, me, self.quarantine.hear)
         self._own_row = own_row
+        if own_row is not None:
+            self.control.on_era.append(lambda era: own_row.note_era())
         directory = _directory(settings, self.control, platform, rng, own_row)
         self.reader = Reader(self.control, source, rng, directory)
+        self.leader = _leader(settings, self.control, platform, source, self.rollouts, self.reader)
         self.committer = _committer(self.control, self.reader, platform, rng)
         pacer = Pacer(me.bandwidth)
         self.gates = Gates(
@@ -112,7 +122,8 @@
         crossed = self.control.meter.crossed
         self.links = Links(lambda: self.control.hello, self.control.fault, crossed)
         choose = balancing.chooser_of(settings.calls_balancing)
-        servers = Servers(self.links, choose, rng, self.gates.own_outlook)
+        exposed = self.rollouts.state
+        servers = Servers(self.links, choose, rng, self.gates.own_outlook, exposed)
         replay_limit = round(settings.calls_replay_limit)
         identity = Identity(dialect, settings.server_service)
         bound = Bound(settings.budget_ratio, settings.budget_slack, settings.budget_window)
@@ -128,11 +139,18 @@
             self.gates.repeat_share,
             pacer,
             self.quarantine,
+            exposed,
         )
         self.peers = PeerServer(self.control, self.reader, self.gates)
         self.callers = HttpServer(self.calls.on_request, timeouts)
         admin = Admin(
-            self.control, self.reader, self.committer, self.gates, self.calls, self.quarantine
+            self.control,
+            self.reader,
+            self.committer,
+            self.gates,
+            self.calls,
+            self.quarantine,
+            self.rollouts,
         )
         self.admin = HttpServer(admin.on_request, timeouts)
         self.metrics = HttpServer(admin.on_request, timeouts)
@@ -180,6 +198,14 @@
         if self._own_row is not None:
             self._own_row.note_findings(kept)
 
+    def _publish_standings(self, standings: tuple[Standing, ...], is_urgent: bool) -> None:
+        self.control.update_me(standings=standings)
+        if is_urgent:
+            self.control.announce_everywhere()
+
+    def _leaders_of(self, service: str) -> list[str]:
+        return [leader.address for leader in self.reader.leaders(service)]
+
     async def start(self) -> dict[str, str]:
         """Listen on every address and return the addresses in use; raise OSError."""
         address = self.control.view.me.address
@@ -201,6 +227,11 @@
         self.control.spawn(self.reader.floor_loop())
         self.control.spawn(self.reader.poll_loop())
         self.control.spawn(self._check_loop())
+        if self.leader is not None:
+            self.control.spawn(self.leader.run())
+            send = self.control.send_tally
+            tallies = send_tallies(self.gates, self.rollouts, self._leaders_of, send)
+            self.control.spawn(tallies)
         if self.adoption is not None and self._taker is not None:
             self.control.spawn(self._adopt(self._taker))
         if self.settings.statsd:
@@ -229,7 +260,9 @@
             self.links.check(loop.time())
             self.gates.expire(loop.time())
             self.quarantine.expire(loop.time())
-            retry_budget.note_members(self.budget, len(membership.reachable(self.control.view)))
+            members = len(membership.reachable(self.control.view))
+            retry_budget.note_members(self.budget, members)
+            exposure.note_members(self.rollouts.state, members)
 
     async def _report_loop(self, metrics: StatsdReport) -> None:
         while True:
@@ -313,6 +346,31 @@
     return Directory(control, platform.rows, rng, own_row, settings.first_start)
 
 
+def _leader(
+    settings: Settings,
+    control: Control,
+    platform: Platform,
+    source: Source,
+    rollouts: Rollouts,
+    reader: Reader,
+) -> Leader | None:
+    order_rows = order_rows_by_name.get(settings.platform_adapter)
+    if platform.rows is None or order_rows is None or not isinstance(source, WatchedRowSource):
+        return None
+    leader = Leader(
+        platform.rows,
+        order_rows,
+        rollouts,
+        lambda: list(control.view.members_by_address.values()),
+        reader.rank,
+        control.rng,
+    )
+    source.on_page.append(leader.on_page)
+    control.on_era.append(leader.on_era)
+    control.on_tally.append(leader.on_tally)
+    return leader
+
+
 def _committer(
     control: Control, reader: Reader, platform: Platform, rng: random.Random
 ) -> Committer | None:
--- a/hornbeamgw/daemon/presence.py
+++ b/hornbeamgw/daemon/presence.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
@@ -27,6 +28,10 @@
 # A server tells of itself every 1.5 s; waiting for the first time saves a write for each newcomer,
 # and nobody misses a daemon that has no server yet.
 SERVER_AWAITED_S = 2.0
+# A copy from which the store comes back is some seconds old; what was written longer ago is in it.
+COPY_MAX_AGE_S = 60.0
+# Rows are written again over so long (s): all of a fleet at once would be more than a store takes.
+REWRITE_WITHIN_S = 1.0
 BACKOFF_S = 0.1
 BACKOFF_MAX_S = 1.0  # a store that is back is asked again well within 2 s
 MOST_SLOTS = 0xFFFF  # what a member's record carries
@@ -111,6 +116,7 @@
         self._me = me
         self._servers: tuple[Announcement, ...] = ()
         self._stored: Presence | None = None
+        self._stored_at = 0.0
         self._looked_up = asyncio.Event()
         self._changed = asyncio.Event()
 
@@ -118,6 +124,7 @@
         """Take what the store holds, as the directory was read; None where it has no row."""
         if self._stored is None and row is not None:
             self._stored = _presence_of(row)
+            self._stored_at = asyncio.get_running_loop().time()
         self._looked_up.set()
 
     async def last_known(self) -> Sequence[Announcement]:
@@ -131,6 +138,14 @@
         self._servers = tuple(known._replace(expires_at=0.0, warm_at=0.0) for known in serving)
         self._changed.set()
 
+    def note_era(self) -> None:
+        """Write the row again where a store that came back from a copy may have lost it."""
+        loop = asyncio.get_running_loop()
+        if self._stored is None or loop.time() - self._stored_at > COPY_MAX_AGE_S:
+            return
+        self._stored = None
+        loop.call_later(random.uniform(0, REWRITE_WITHIN_S), self._changed.set)
+
     def note_findings(self, findings: tuple[Finding, ...]) -> None:
         """Keep findings that must outlast all daemons that know of them."""
         if findings != self._me.findings:
@@ -175,7 +190,7 @@
             wanted = Presence(self._me, self._servers)
             try:
                 await self._rows.write(TABLE, self._me.address, _encode(wanted))
-                self._stored = wanted
+                self._stored, self._stored_at = wanted, asyncio.get_running_loop().time()
             except PlatformError as error:
                 failures += 1
                 log.info("own row not written", extra={"error": str(error), "try": failures})
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -14,10 +14,12 @@
 from hornbeamgw.core.rendezvous import (
     READERS_IN_ALL,
     READERS_PER_DATA_CENTRE,
+    all_readers,
     is_pusher,
     is_reader,
     top,
 )
+from hornbeamgw.core.rollout import LEADERS
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.control import Control
 from hornbeamgw.daemon.directory import Directory
@@ -43,6 +45,9 @@
 RECONCILE_EVERY_S = 300.0
 JOIN_TRIES = 3
 PEERS_TO_ASK = 5
+# A view of the fleet takes some ms; daemons that are gone may not answer at all.
+MET_AWAITED_S = 0.5
+ROWS_AWAITED_S = 2.0  # where none had a row, since a store that lost them gets them again
 FLOOR_ASK_S = 0.4  # an answer takes a few ms where the store refuses at once
 
 
@@ -130,7 +135,10 @@
                 await asyncio.sleep(self._rng.uniform(0.8, 1.2) * READER_CHECK_EVERY_S)
                 continue
             try:
+                era = self._control.node.era
                 head = await self._source.wait_change()
+                if era is not None and self._control.node.era != era:
+                    self._tell_era()
                 if head is None and not self._reads_now():
                     continue
                 # A version that was read is taken also where another reads by now: the source has
@@ -153,6 +161,23 @@
         members = self._control.view.members_by_address.values()
         return [member for member in members if member.status is Status.ALIVE]
 
+    def _tell_era(self) -> None:
+        """Let all daemons hear of a new era at once, by those whose turn it is."""
+        members, era = self._living(), self._control.node.era or 0
+        if is_pusher(self._control.view.me, members, era, self._in_all()):
+            self._control.announce_everywhere()
+
+    def leaders(self, service: str) -> list[Member]:
+        """Return the readers that lead a rollout of a service, the first one first."""
+        readers = all_readers(self._living(), self._in_all())
+        return top(f"rollout {service}", readers, LEADERS)
+
+    def rank(self, service: str) -> int | None:
+        """Return the rank of this daemon among those that lead a rollout, None for none."""
+        me = self._control.view.me.address
+        addresses = [leader.address for leader in self.leaders(service)]
+        return addresses.index(me) if me in addresses else None
+
     async def _push(self) -> None:
         """Push what was read, unless another reader's push of it comes first."""
         members, me = self._living(), self._control.view.me
@@ -267,11 +292,31 @@
         except PlatformError as error:
             self._wait_for(f"the platform ({error})")
             return False
-        self._control.set_floor(head.version, "read from the platform")
-        if self._source.is_whole:
-            await self.catch_up(head)
+        if not self._source.is_whole:
+            self._control.set_floor(head.version, "read from the platform")
+            return True
+        await self._pull_beyond(head)
+        floor = max(head.version, self._control.versions.catalogue.version)
+        self._control.set_floor(floor, "read from the platform")
+        await self.catch_up(head)
         return True
 
+    async def _pull_beyond(self, head: SourceHead) -> None:
+        """Take a version that peers hold and a store that came back from a copy has lost."""
+        if self._control.node.era and self.directory is not None:
+            met = asyncio.create_task(self.directory.met.wait())
+            is_empty = self.directory.is_empty
+            await asyncio.wait([met], timeout=ROWS_AWAITED_S if is_empty else MET_AWAITED_S)
+            met.cancel()
+        held = [m for m in self._peers() if m.status is Status.ALIVE and m.version > head.version]
+        if held:
+            holder = max(held, key=lambda member: member.version)
+            log.warning(
+                "the store is behind a peer",
+                extra={"read": head.version, "held": holder.version, "peer": holder.address},
+            )
+            await self._control.pull(holder.address)
+
     async def _floor_from_reader(self, reader: Member) -> bool:
         request = frames.FloorRequest(self._control.view.me.address)
         try:
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -152,6 +152,7 @@
         if failure is not None:
             return failure
         attempt.status = event.status_code
+        attempt.answered_at = asyncio.get_running_loop().time()
         size = self._pacer.part_bytes
         first, rest = body[:size], body[size:]
         is_whole = end and not rest
--- a/hornbeamgw/daemon/servers.py
+++ b/hornbeamgw/daemon/servers.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
+import time
 from collections.abc import Callable, Sequence
 
-from hornbeamgw.core import balancing, crossing, placement, sampling, subsetting
+from hornbeamgw.core import balancing, crossing, exposure, placement, sampling, subsetting
 from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load
+from hornbeamgw.core.exposure import Arm, ExposureBound, ExposureState
 from hornbeamgw.core.membership import Member, server_key
 from hornbeamgw.core.placement import PlacementState, RouteTraits
 from hornbeamgw.daemon import frames
@@ -20,6 +23,8 @@
 NOTHING_TOLD = Told((), (), 0)
 # As many as a call may be refused by (calls.MAX_REFUSALS); each takes a round trip.
 ASKED_ONE_BY_ONE = 3
+# Versions that are new wait a second for word of an order; how often (s) that is looked at.
+NEWCOMERS_AGAIN_S = 0.2
 
 
 class Servers:
@@ -31,16 +36,23 @@
         choose: Chooser,
         rng: random.Random,
         own_outlook: OwnOutlook | None = None,
+        exposed: ExposureState | None = None,
     ) -> None:
-        """Take the links to ask on, the way to choose by what was heard, and the gate here."""
+        """Take the links to ask on, the way to choose by what was heard, and the gate here.
+
+        With it goes what versions on trial may get; without, no order is ever heard of.
+        """
+        self._exposed = exposed or ExposureState(ExposureBound(0.0, 0.0))
         self._own_outlook = own_outlook
         self._links = links
         self._choose = choose
         self._rng = rng
         self._placement = PlacementState()
         self._loads_by_key: dict[str, tuple[int, Load]] = {}
-        self._serving_at = -1
-        self._candidates_by_service: dict[str, list[Candidate]] = {}
+        self._found_at = (-1, -1)
+        self._found_until = math.inf
+        self._serving_by_service: dict[str, list[Member]] = {}
+        self._candidates_by_arm: dict[tuple[str, Arm], list[Candidate]] = {}
 
     def traits_of(self, call: Call) -> RouteTraits:
         """Return what answers of a call's route are like."""
@@ -51,19 +63,41 @@
         candidates = self._candidates(view, call.service, now)
         return any(c.key not in call.tried for c in candidates)
 
-    def _candidates(self, view: View, service: str, now: float) -> list[Candidate]:
-        """Return the servers that a call may go to, found anew only where the view has changed."""
-        if view.generation != self._serving_at:
-            self._serving_at = view.generation
-            self._candidates_by_service.clear()
-        candidates = self._candidates_by_service.get(service)
+    def _candidates(
+        self, view: View, service: str, now: float, arm: Arm = Arm.BEFORE
+    ) -> list[Candidate]:
+        """Return the servers that a call may go to, found anew only where something has changed."""
+        found_at = view.generation, self._exposed.generation
+        if found_at != self._found_at or now >= self._found_until:
+            self._found_at, self._found_until = found_at, math.inf
+            self._serving_by_service.clear()
+            self._candidates_by_arm.clear()
+        candidates = self._candidates_by_arm.get((service, arm))
         if candidates is None:
-            serving = balancing.serving(view.members, service)
-            known = subsetting.known_servers(view.me, serving)
+            found = self._of_arm(view, service, now, arm)
+            known = subsetting.known_servers(view.me, found)
             candidates = [Candidate(member, self._load(member, now)) for member in known]
-            self._candidates_by_service[service] = candidates
+            if arm is not Arm.TURN:
+                self._candidates_by_arm[service, arm] = candidates
         return candidates
 
+    def _of_arm(self, view: View, service: str, now: float, arm: Arm) -> list[Member]:
+        serving = self._serving_by_service.get(service)
+        if serving is None:
+            serving = balancing.serving(view.members, service)
+            self._serving_by_service[service] = serving
+            exposure.note_seen(self._exposed, service, {m.software for m in serving}, now)
+        if arm is Arm.BEFORE:
+            found = exposure.servers_before(self._exposed, service, serving, now)
+            if len(found) < len(serving):
+                self._found_until = now + NEWCOMERS_AGAIN_S
+            return found
+        found = exposure.new_servers(self._exposed, service, serving)
+        if arm is Arm.TURN:
+            current = self._exposed.current_by_service[service]
+            return exposure.on_turn(found, exposure.turn_of(current), time.time())
+        return found
+
     def _load(self, member: Member, now: float) -> Load:
         """Return what was seen of the server there; another run of it starts anew."""
         key = server_key(member)
@@ -74,10 +108,18 @@
         return load
 
     def _choice(self, call: Call, view: View, now: float) -> Choice:
-        candidates = self._candidates(view, call.service, now)
         traits = self.traits_of(call)
+        candidates = self._candidates(view, call.service, now, self._arm_of(call, traits))
+        if not candidates:
+            candidates = self._candidates(view, call.service, now)
         return Choice(view.me, candidates, call.tried, traits, call.aim, now, call.objective)
 
+    def _arm_of(self, call: Call, traits: RouteTraits) -> Arm:
+        if not self._exposed.current_by_service:
+            return Arm.BEFORE
+        asked = exposure.Asked(call.service, traits.service, not call.placed)
+        return exposure.arm_of(self._exposed, asked, time.time(), self._rng)
+
     async def choose(self, call: Call, view: View) -> Candidate | None:
         """Return where to send a call: by what was heard of all servers, or by asking some."""
         choice = self._choice(call, view, asyncio.get_running_loop().time())
@@ -124,7 +166,8 @@
         return None
 
     def _best_taker(self, call: Call, choice: Choice) -> Candidate | None:
-        takers = [c for c in call.takers if c.key not in call.tried]
+        usable = {c.key for c in choice.candidates}
+        takers = [c for c in call.takers if c.key in usable and c.key not in call.tried]
         return sampling.best(choice, takers)
 
     def _ask_own(self, call: Call, choice: Choice) -> Candidate | None:
--- a/hornbeamgw/daemon/sources.py
+++ b/hornbeamgw/daemon/sources.py
@@ -157,13 +157,38 @@
         self._rows = rows
         self._row = row
         self._seen: int | None = None
+        self._era: int | None = None
+        # Told of all rows of the operators' table, for others that they keep there.
+        self.on_page: list[Callable[[RowPage], None]] = []
 
     async def read_head(self) -> SourceHead:
         """Return the version in the row, 0 where there is none yet; raise PlatformError."""
         self.reads += 1
-        page = await self._rows.read(self._row.table, self._row.key)
-        self._seen = page.state
-        return self._head_of(page) or SourceHead(0, None)
+        page = await self._rows.read(self._row.table)
+        is_era_new = self._era is not None and page.era != self._era
+        self._seen, self._era = page.state, page.era
+        self._control.note_era(page.era)
+        head = self._head_of(page) or SourceHead(0, None)
+        if is_era_new:
+            self._compare(head, page.era)
+        self._tell(page)
+        return head
+
+    def _compare(self, head: SourceHead, era: int) -> None:
+        """Tell how a store that came back from a copy differs from what is in force."""
+        known = self._control.versions.catalogue
+        told = {"era": era, "read": head.version, "known": known.version}
+        bodies_by_key = {key: item.body for key, item in known.items.items()}
+        if head.version == known.version and head.content != bodies_by_key:
+            log.error("another content under a known version; the first one holds", extra=told)
+        elif head.version < known.version:
+            log.warning("the store is behind; what is known holds", extra=told)
+        else:
+            log.warning("the store came back from a copy", extra=told)
+
+    def _tell(self, page: RowPage) -> None:
+        for callback in self.on_page:
+            callback(page)
 
     async def wait_change(self) -> SourceHead | None:
         """Watch the row for a while; read it afresh where the store forgot what changed."""
@@ -174,7 +199,10 @@
         if page is None:
             log.info("history lost", extra={"after": self._seen, "table": self._row.table})
             return await self.read_head()
+        if page.era != self._era:
+            return await self.read_head()
         self._seen = max(self._seen, page.state)
+        self._tell(page)
         return self._head_of(page) or SourceHead(0, None)
 
     def _head_of(self, page: RowPage) -> SourceHead | None:
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -52,6 +52,7 @@
   limits @16 :Limits;
   fingerprint @17 :UInt64;
   server @18 :UInt16;
+  typicalMs @19 :UInt32;
 }
 
 struct OutlookRequest {
@@ -148,6 +149,16 @@
   software @14 :Text;
   server @15 :UInt16;
   furtherServers @16 :List(FurtherServer);
+  standings @17 :List(Standing);
+}
+
+struct Standing {
+  service @0 :Text;
+  target @1 :Text;
+  number @2 :UInt64;
+  phase @3 :UInt8;
+  step @4 :UInt16;
+  lengthMs @5 :UInt16;
 }
 
 struct FurtherServer {
@@ -177,8 +188,23 @@
     indirect @7 :Indirect;
     push @8 :Push;
     have @9 :Bool;
+    tally @11 :Tally;
   }
   viewHash @10 :UInt64;
+  era @12 :UInt32;
+}
+
+struct Tally {
+  service @0 :Text;
+  server @1 :UInt16;
+  software @2 :Text;
+  counts @3 :List(Count);
+
+  struct Count {
+    route @0 :Text;
+    answers @1 :UInt32;
+    bad @2 :UInt32;
+  }
 }
 
 struct Indirect {
--- a/hornbeamgw/testing/store.py
+++ b/hornbeamgw/testing/store.py
@@ -27,21 +27,23 @@
 LATE_S = 0.5
 RATE_WINDOW_S = 1.0
 OBJECT_PREFIXES = ("/-/blob-put/", "/-/blob-get/", "/-/blob-drop/")
+ERA = b"store-era"
 TRICKLE = "trickle"  # an answer comes in parts, each a while after the last
 SILENT_S = 60.0
 TRICKLE_PARTS = 4
 TRICKLE_S = 0.2
 
 
-def _answer(connection: HttpConnection, status: int, document: dict[str, Any]) -> None:
+def _answer(connection: HttpConnection, status: int, document: dict[str, Any], era: int) -> None:
     body = msgspec.msgpack.encode(document)
-    send_response(connection, status, [(b"content-type", b"application/msgpack")], body)
+    headers = [(b"content-type", b"application/msgpack"), (ERA, str(era).encode())]
+    send_response(connection, status, headers, body)
 
 
-async def _trickle(connection: HttpConnection, document: dict[str, Any]) -> None:
+async def _trickle(connection: HttpConnection, document: dict[str, Any], era: int) -> None:
     body = msgspec.msgpack.encode(document)
     size = len(body) // TRICKLE_PARTS + 1
-    headers = [(b"content-length", str(len(body)).encode())]
+    headers = [(b"content-length", str(len(body)).encode()), (ERA, str(era).encode())]
     connection.send(h11.Response(status_code=200, headers=headers))
     for start in range(0, len(body), size):
         await asyncio.sleep(TRICKLE_S)
@@ -56,6 +58,13 @@
     state: int
 
 
+class StoreCopy(NamedTuple):
+    """Hold the rows of a store as they were at one state."""
+
+    rows_by_place: dict[tuple[str, str], _Stored]
+    state: int
+
+
 class _Change(NamedTuple):
     row: _Stored
     deleted: bool
@@ -82,6 +91,7 @@
         self.changes: deque[_Change] = deque()
         self.forgotten_until = 0
         self.state = 0
+        self.era = 0
         self.fault = ""
         self.write_faults: deque[str] = deque()
         self.calls = 0
@@ -117,6 +127,20 @@
         """Write a row as the operator does, past all faults."""
         self._write(table, key, base64.b64encode(value).decode())
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all rows, to come back from later."""
+        return StoreCopy(dict(self.rows_by_place), self.state)
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Lose what was written since a copy was made; states are given out anew from there."""
+        self.rows_by_place = dict(copy.rows_by_place)
+        self.state = copy.state
+        self.changes.clear()
+        self.forgotten_until = copy.state
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def forget_history(self) -> None:
         """Drop what the feed could tell so far."""
         self.changes.clear()
@@ -141,25 +165,25 @@
         body = await read_body(connection, BODY_LIMIT)
         self._count(request.target.decode())
         fault = fault or self.fault or (BUSY if self._is_over_rate() else "")
-        if await _fail(connection, fault):
+        if await _fail(connection, fault, self.era):
             return
         url = urlsplit(request.target.decode())
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         if url.path == "/-/rows-get" and fault == TRICKLE:
-            await _trickle(connection, self._page(query))
+            await _trickle(connection, self._page(query), self.era)
         elif url.path == "/-/rows-get":
-            _answer(connection, 200, self._page(query))
+            _answer(connection, 200, self._page(query), self.era)
         elif url.path == "/-/rows-feed":
             status, document = await self._feed(query)
-            _answer(connection, status, document)
+            _answer(connection, status, document, self.era)
         elif url.path == "/-/rows-tx":
             self._take_transaction(connection, msgspec.msgpack.decode(body))
         elif url.path == "/-/blob-list":
-            _answer(connection, 200, self._names(query))
+            _answer(connection, 200, self._names(query), self.era)
         elif url.path.startswith(OBJECT_PREFIXES):
             self._take_object(connection, request, url.path, body)
         else:
-            _answer(connection, 404, {"error": url.path})
+            _answer(connection, 404, {"error": url.path}, self.era)
 
     def _count(self, target: str) -> None:
         url = urlsplit(target)
@@ -187,15 +211,15 @@
         name = path.split("/", 3)[3]
         if request.method == b"PUT":
             if header(request.headers, b"if-none-match") == b"*" and name in self.objects_by_name:
-                _answer(connection, 412, {})
+                _answer(connection, 412, {}, self.era)
                 return
             self.objects_by_name[name] = body
-            _answer(connection, 200, {})
+            _answer(connection, 200, {}, self.era)
         elif name not in self.objects_by_name:
-            _answer(connection, 404, {})
+            _answer(connection, 404, {}, self.era)
         elif request.method == b"DELETE":
             del self.objects_by_name[name]
-            _answer(connection, 200, {})
+            _answer(connection, 200, {}, self.era)
         else:
             send_response(connection, 200, [], self.objects_by_name[name])
 
@@ -215,7 +239,7 @@
         after, table = int(query["after"]), query["table"]
         deadline = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
         while True:
-            if after < self.forgotten_until:
+            if after < self.forgotten_until or after > self.state:
                 return 410, self._stamp({})
             rows = [
                 {**_encode(change.row), "deleted": True} if change.deleted else _encode(change.row)
@@ -243,9 +267,9 @@
         if fault == LOSE_ANSWER:
             connection.abort()
         elif unmet is not None:
-            _answer(connection, 412, self._stamp({"rows": unmet}))
+            _answer(connection, 412, self._stamp({"rows": unmet}), self.era)
         else:
-            _answer(connection, 200, self._stamp({}))
+            _answer(connection, 200, self._stamp({}), self.era)
 
     async def _transact_late(self, asked: dict[str, Any]) -> None:
         await asyncio.sleep(LATE_S)
@@ -264,14 +288,14 @@
         return None
 
 
-async def _fail(connection: HttpConnection, fault: str) -> bool:
+async def _fail(connection: HttpConnection, fault: str, era: int) -> bool:
     """Answer as a fault has it; return whether that was all."""
     if fault == RESET:
         connection.abort()
     elif fault == SILENT:
         await asyncio.sleep(SILENT_S)
     elif fault in (OUTAGE, BUSY):
-        _answer(connection, 503 if fault == OUTAGE else 429, {})
+        _answer(connection, 503 if fault == OUTAGE else 429, {}, era)
     return bool(fault) and fault != TRICKLE
 
 
