Leave half of the retry budget to more urgent requests, and spend nine tenths of it

Hypothesis: where every server of a service turns half of what it gets away, repeats are bound by the budget, first come first served; a call that another request waits for loses that request whole, while callers of less urgent requests come back by themselves.

Change: less urgent requests leave half of the budget to more urgent ones of the same service; each daemon spends 0.9 of its part in place of 0.8.

--- a/features/budget.feature
+++ b/features/budget.feature
@@ -11,6 +11,17 @@
     When 100 requests begin beside a server half of whose work is repeated
     Then no repeat is allowed
 
+  Scenario: Calls that others wait for find budget left while less urgent requests want it all
+    Given 11 daemons with a bound of 0.2 and a slack of 62 in 10 seconds
+    When each wants to repeat half of 20 urgent and 20 other requests a second for 30 seconds
+    Then no window of 10 seconds holds more repeats than the bound
+    And at least 0.6 of the repeats were urgent
+
+  Scenario: Without urgent ones, less urgent requests use the whole budget
+    Given 11 daemons with a bound of 0.2 and a slack of 62 in 10 seconds
+    When each wants to repeat half of 0 urgent and 40 other requests a second for 30 seconds
+    Then at least half of the bound was used
+
   Scenario Outline: A split keeps to its weights
     Given 5 daemons that share a route "<weights>"
     When each of them hands out 60 requests
--- a/features/steps/budget.py
+++ b/features/steps/budget.py
@@ -35,6 +35,28 @@
                 context.repeats.append(now)
 
 
+@when("each wants to repeat half of {urgent:d} urgent and {other:d} other requests a second for {seconds:d} seconds")  # fmt: skip  # noqa: E501
+def repeat_half(context, urgent, other, seconds):
+    rng = random.Random(3)
+    context.requests, context.repeats, context.urgent = [], [], 0
+    rate = urgent + other
+    for number in range(rate * seconds):
+        now = number / rate
+        for state in context.states:
+            priority = 1 if rng.random() < urgent / rate else 2
+            retry_budget.note_request(state, "roster", now, priority)
+            context.requests.append(now)
+            wants = rng.random() < 0.5
+            if wants and retry_budget.take_repeat(state, "roster", now, priority):
+                context.repeats.append(now)
+                context.urgent += priority == 1
+
+
+@then("at least {part:g} of the repeats were urgent")
+def mostly_urgent(context, part):
+    assert context.urgent >= part * len(context.repeats), (context.urgent, len(context.repeats))
+
+
 def in_window(times, end, window):
     return sum(end - window < time <= end for time in times)
 
--- a/hornbeamgw/core/retry_budget.py
+++ b/hornbeamgw/core/retry_budget.py
@@ -5,6 +5,10 @@
 slack by the number of members. A repeated run makes its own calls again, and those count as
 repeats at the services that it calls: the daemon beside it charges the requests that arrive there
 with the share of repeats among what runs at its own backend server.
+
+The pattern: every server of a service turns half of what it gets away at once, and what it gets are
+calls that others wait for and requests of callers who come back by themselves. The former are more
+urgent, and whoever waits fails with them. So while they come, they find half of the budget unspent.
 """
 
 from __future__ import annotations
@@ -13,7 +17,9 @@
 from typing import NamedTuple
 
 # What is left unspent covers requests still under way and windows that do not line up.
-OWN_PART = 0.8
+OWN_PART = 0.9
+# Of what a daemon may spend, less urgent requests leave the rest to more urgent ones.
+LESS_URGENT_PART = 0.5
 
 
 class Bound(NamedTuple):
@@ -30,6 +36,7 @@
         self.repeats: deque[float] = deque()
         self.inner: deque[tuple[float, float]] = deque()
         self.inner_sum = 0.0
+        self.seen_at_by_priority: dict[int, float] = {}
 
 
 class BudgetState:
@@ -58,9 +65,11 @@
     state.members = max(state.members, members)
 
 
-def note_request(state: BudgetState, service: str, now: float) -> None:
-    """Count a request of a caller for a service."""
-    _window(state, service, now).requests.append(now)
+def note_request(state: BudgetState, service: str, now: float, priority: int = 0) -> None:
+    """Count a request of a caller for a service; 0 is the most urgent priority."""
+    window = _window(state, service, now)
+    window.requests.append(now)
+    window.seen_at_by_priority[priority] = now
 
 
 def note_inner_repeat(state: BudgetState, service: str, share: float, now: float) -> None:
@@ -72,17 +81,23 @@
     window.inner_sum += share
 
 
-def has_room(state: BudgetState, service: str, now: float) -> bool:
+def _has_more_urgent(window: _Window, priority: int, oldest: float) -> bool:
+    return any(other < priority and at > oldest for other, at in window.seen_at_by_priority.items())
+
+
+def has_room(state: BudgetState, service: str, now: float, priority: int = 0) -> bool:
     """Return whether a request may reach a backend server once more."""
     window = _window(state, service, now)
     earned = state.bound.ratio * len(window.requests)
     allowed = OWN_PART * (earned + state.bound.slack / state.members)
+    if _has_more_urgent(window, priority, now - state.bound.window):
+        allowed *= LESS_URGENT_PART
     return len(window.repeats) + window.inner_sum + 1 <= allowed
 
 
-def take_repeat(state: BudgetState, service: str, now: float) -> bool:
+def take_repeat(state: BudgetState, service: str, now: float, priority: int = 0) -> bool:
     """Return whether a request may reach a backend server once more, and count it if so."""
-    if not has_room(state, service, now):
+    if not has_room(state, service, now, priority):
         return False
     _window(state, service, now).repeats.append(now)
     return True
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -120,7 +120,8 @@
         call_id = call_id_of(request, self._dialect.call_id)
         found = self._open(view, request, call_id, started)
         if isinstance(found, Call):
-            retry_budget.note_request(self._budget, found.service, started)
+            priority = found.route.priority
+            retry_budget.note_request(self._budget, found.service, started, priority)
             share = self._repeat_share()
             retry_budget.note_inner_repeat(self._budget, found.service, share, started)
         if isinstance(found, Failure):
@@ -241,7 +242,7 @@
         )
         if retry is None or not call.arrivals:
             return retry
-        if not retry_budget.take_repeat(self._budget, call.service, now):
+        if not retry_budget.take_repeat(self._budget, call.service, now, call.route.priority):
             self.counts["retries_over_budget"] += 1
             return None
         return retry
@@ -253,7 +254,8 @@
         if is_bound_by_route or call.deadline - now < call.aim * LEAST_PART_TO_GO_ELSEWHERE:
             return False
         has_other = self._servers.has_other(call, self._view(), now)
-        return has_other and retry_budget.has_room(self._budget, call.service, now)
+        priority = call.route.priority
+        return has_other and retry_budget.has_room(self._budget, call.service, now, priority)
 
     def _unplaced(self, call: Call) -> Failure:
         if not call.retry_after_ms:
