Let three readers watch the store closely, and the others ask it seldom

Hypothesis: eight readers each end their watch after 1.5 s, so that a silent connection is noticed before a version is due; three that do so are enough, for a change ends every watch at once and what one reads it pushes to all.

Change: by rank three readers, and all while a rollout is undecided, watch for 1.5 s, others for 6 s.

--- a/features/outside.feature
+++ b/features/outside.feature
@@ -117,6 +117,18 @@
     And the operator writes version 17 with one more route
     Then all of them have version 17 in force within 2 seconds
 
+  Scenario: A few of the readers watch closely, and the others ask the store seldom
+    Given seven more daemons start
+    When the calls to the store are counted
+    Then after 6 seconds the row was watched 24 times at most
+
+  Scenario: All open connections to the store go silent, and new ones work
+    Given seven more daemons start
+    And the store answers with "silent"
+    When 7 seconds pass
+    And the store works again with version 20
+    Then all of them have version 20 in force within 3 seconds
+
   Scenario: The two whose turn it is to push a version are cut off from the store
     Given seven more daemons start
     When the store turns those away that would push version 18, and the operator writes it
--- a/features/steps/outside.py
+++ b/features/steps/outside.py
@@ -305,6 +305,12 @@
     assert counted(context, ("rows-tx", "")) == 0, context.store.calls_by_place
 
 
+@then("after {seconds:d} seconds the row was watched {most:d} times at most")
+def watched_little(context, seconds, most):
+    context.runner.run(asyncio.sleep(seconds))
+    assert 0 < counted(context, ("rows-feed", "op")) <= most, context.store.calls_by_place
+
+
 @given("the store holds version {number:d}, and nine daemons start with it for the first time")
 def all_new(context, number):
     async def begin():
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -228,6 +228,7 @@
         self.control.spawn(self.reader.poll_loop())
         self.control.spawn(self._check_loop())
         if self.leader is not None:
+            self.reader.watches_closely = self.rollouts.has_undecided
             self.control.spawn(self.leader.run())
             send = self.control.send_tally
             tallies = send_tallies(self.gates, self.rollouts, self._leaders_of, send)
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 from typing import Any
 
 from hornbeamgw.backends.base import PlatformError
@@ -29,6 +30,12 @@
 log = logging.getLogger(__name__)
 
 READ_SPACING_S = 0.2
+# A watch ends soon enough that a silent connection to the store is noticed before a version that
+# came meanwhile is due (2 s). Some readers see to that for all; a change ends every watch at once,
+# so the others' may be long, and a store that counts its calls is asked less.
+WATCH_WAIT_S = 1.5
+LONG_WATCH_WAIT_S = 6.0
+SHORT_WATCHERS = 3
 READER_CHECK_EVERY_S = 0.25
 # A daemon sends a probe and is sent one each second, and their answers; one that hears nothing for
 # so long may be cut off from its readers while the platform still answers it.
@@ -86,6 +93,7 @@
         self._last_read_at = -1e9
         self._join_tried = asyncio.Event()
         self._floor_tries = 0
+        self.watches_closely: Callable[[], bool] = lambda: False
 
     @property
     def reads(self) -> int:
@@ -136,7 +144,7 @@
                 continue
             try:
                 era = self._control.node.era
-                head = await self._source.wait_change()
+                head = await self._source.wait_change(self._watch_wait())
                 if era is not None and self._control.node.era != era:
                     self._tell_era()
                 if head is None and not self._reads_now():
@@ -167,6 +175,12 @@
         if is_pusher(self._control.view.me, members, era, self._in_all()):
             self._control.announce_everywhere()
 
+    def _watch_wait(self) -> float:
+        """Return how long (s) this daemon's next watch may last."""
+        readers = top("watch", all_readers(self._living(), self._in_all()), SHORT_WATCHERS)
+        is_short = any(reader.address == self._control.view.me.address for reader in readers)
+        return WATCH_WAIT_S if is_short or self.watches_closely() else LONG_WATCH_WAIT_S
+
     def leaders(self, service: str) -> list[Member]:
         """Return the readers that lead a rollout of a service, the first one first."""
         readers = all_readers(self._living(), self._in_all())
--- a/hornbeamgw/daemon/sources.py
+++ b/hornbeamgw/daemon/sources.py
@@ -26,9 +26,6 @@
 
 MAX_DELTA_READS = 16
 PLATFORM = "platform"
-# A watch ends soon enough that a silent connection to the store is noticed before a version that
-# came meanwhile is due (2 s); several readers share the risk, and each call costs its price.
-WATCH_WAIT_S = 1.5
 
 
 class SourceHead(NamedTuple):
@@ -50,8 +47,8 @@
     async def read_head(self) -> SourceHead:
         """Return the newest version, by a read begun after this call."""
 
-    async def wait_change(self) -> SourceHead | None:
-        """Wait until the head may have moved; return it where waiting brought it along."""
+    async def wait_change(self, wait: float) -> SourceHead | None:
+        """Wait until the head may have moved, for a time (s); return it where that brought it."""
 
     async def catch_up(self, head: SourceHead) -> bool:
         """Take what is missing up to a head and return whether anything was new."""
@@ -106,7 +103,7 @@
             raise PlatformError(f"undecodable head: {error}") from error
         return of_commit(head)
 
-    async def wait_change(self) -> SourceHead | None:
+    async def wait_change(self, wait: float) -> SourceHead | None:
         """Wait for the next poll."""
         await asyncio.sleep(self._poll * self._rng.uniform(0.8, 1.2))
         return None
@@ -190,12 +187,12 @@
         for callback in self.on_page:
             callback(page)
 
-    async def wait_change(self) -> SourceHead | None:
-        """Watch the row for a while; read it afresh where the store forgot what changed."""
+    async def wait_change(self, wait: float) -> SourceHead | None:
+        """Watch the row for a time (s); read it afresh where the store forgot what changed."""
         if self._seen is None:
             return await self.read_head()
         self.reads += 1
-        page = await self._rows.watch(self._row.table, self._seen, WATCH_WAIT_S)
+        page = await self._rows.watch(self._row.table, self._seen, wait)
         if page is None:
             log.info("history lost", extra={"after": self._seen, "table": self._row.table})
             return await self.read_head()
