Let readers that don't watch closely ask a store that refuses them less often

Hypothesis: eight readers knock every 0.4 to 0.8 s while the store turns them away; three bring the news of its return soon enough.

Change: those that don't watch closely back off up to 3.2 s.

--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -35,7 +35,7 @@
 # so the others' may be long, and a store that counts its calls is asked less.
 WATCH_WAIT_S = 1.5
 LONG_WATCH_WAIT_S = 6.0
-SHORT_WATCHERS = 3
+CLOSE_WATCHERS = 3
 READER_CHECK_EVERY_S = 0.25
 # A daemon sends a probe and is sent one each second, and their answers; one that hears nothing for
 # so long may be cut off from its readers while the platform still answers it.
@@ -45,6 +45,7 @@
 PUSH_AWAITED_S = 0.4
 POLL_BACKOFF_S = 0.05
 POLL_BACKOFF_MAX_S = 0.8  # a store that is back is read again well within a second
+LONG_POLL_BACKOFF_MAX_S = 3.2  # by those who do not watch closely
 FLOOR_BACKOFF_S = 0.25
 FLOOR_AWAITED_S = 0.02
 FLOOR_BACKOFF_MAX_S = 4.0
@@ -144,7 +145,9 @@
                 continue
             try:
                 era = self._control.node.era
-                head = await self._source.wait_change(self._watch_wait())
+                head = await self._source.wait_change(
+                    WATCH_WAIT_S if self._is_close() else LONG_WATCH_WAIT_S
+                )
                 if era is not None and self._control.node.era != era:
                     self._tell_era()
                 if head is None and not self._reads_now():
@@ -158,7 +161,8 @@
             except PlatformError as error:
                 failures += 1
                 self._note_lost(error)
-                ceiling = min(POLL_BACKOFF_MAX_S, POLL_BACKOFF_S * 2**failures)
+                longest = POLL_BACKOFF_MAX_S if self._is_close() else LONG_POLL_BACKOFF_MAX_S
+                ceiling = min(longest, POLL_BACKOFF_S * 2**failures)
                 await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
 
     def _in_all(self) -> int:
@@ -175,11 +179,11 @@
         if is_pusher(self._control.view.me, members, era, self._in_all()):
             self._control.announce_everywhere()
 
-    def _watch_wait(self) -> float:
-        """Return how long (s) this daemon's next watch may last."""
-        readers = top("watch", all_readers(self._living(), self._in_all()), SHORT_WATCHERS)
-        is_short = any(reader.address == self._control.view.me.address for reader in readers)
-        return WATCH_WAIT_S if is_short or self.watches_closely() else LONG_WATCH_WAIT_S
+    def _is_close(self) -> bool:
+        """Return whether this daemon is one of the readers that watch the store closely."""
+        readers = top("watch", all_readers(self._living(), self._in_all()), CLOSE_WATCHERS)
+        is_ranked = any(reader.address == self._control.view.me.address for reader in readers)
+        return is_ranked or self.watches_closely()
 
     def leaders(self, service: str) -> list[Member]:
         """Return the readers that lead a rollout of a service, the first one first."""
