--- a/hornbeamgw/commands/fleet.py
+++ b/hornbeamgw/commands/fleet.py
@@ -19,6 +19,7 @@
 from hornbeamgw.daemon.http1 import ConnectionLost
 
 BAR_WIDTH = 40
+COUNTED_OF_ROLLOUT = ("reached", "sent", "answers", "bad")
 
 PlotArg = Annotated[str, cappa.Arg(long="--plot", help="draw a picture (PNG or SVG) into a file")]
 
@@ -108,6 +109,35 @@
         print_table(endpoints, ("address", "data_centre", "status", "local", "slots"))
 
 
+@cappa.command(name="rollouts", help="Show how rollouts of services stand.")
+@dataclass
+class RolloutsCommand:
+    """Show each rollout as one daemon knows it, with what the fleet has sent to its version."""
+
+    daemon: DaemonArg
+    output: OutputArg = "table"
+
+    def __call__(self) -> None:
+        """Show it."""
+        known = ask_or_fail(self.daemon, "GET", "/rollouts")
+        answers = _ask_fleet(self.daemon, "/rollouts")
+        rows = [_with_fleet(row, answers) for row in known]
+        columns = ("service", "target", "phase", "step", "reached", "sent", "answers", "bad")
+        print_rows(rows, columns, self.output)
+
+
+def _with_fleet(row: dict[str, Any], answers: dict[str, Any]) -> dict[str, Any]:
+    """Return a rollout with the sums of what all daemons have counted for the same order."""
+    same = [
+        other
+        for rows in answers.values()
+        for other in rows or ()
+        if all(other[key] == row[key] for key in ("service", "target", "number"))
+    ]
+    sums = {key: sum(other[key] for other in same) for key in COUNTED_OF_ROLLOUT}
+    return {**row, **sums}
+
+
 @cappa.command(name="histograms", help="Show latency by owner, class and verdict.")
 @dataclass
 class HistogramsCommand:
--- a/hornbeamgw/commands/main.py
+++ b/hornbeamgw/commands/main.py
@@ -8,7 +8,13 @@
 
 from hornbeamgw.commands.catalogue import CatalogueCommand
 from hornbeamgw.commands.daemon import DaemonCommand, SettingsCommand
-from hornbeamgw.commands.fleet import Explain, HistogramsCommand, Status, Timeline
+from hornbeamgw.commands.fleet import (
+    Explain,
+    HistogramsCommand,
+    RolloutsCommand,
+    Status,
+    Timeline,
+)
 
 
 @cappa.command(
@@ -25,6 +31,7 @@
         | Status
         | Explain
         | HistogramsCommand
+        | RolloutsCommand
         | Timeline
     ]
 
