Use what comes after a completed rollout, and follow a decision read while writing another status

Cause: once a rollout was completed, requests went to its version alone as long as one server of it lived, so a version released later without an order got nothing; a leader that had lost its peers and read that an order was decided went on with its trial.

Change: what was there before a completed rollout is out of use, what is seen later is not; a status read as decided is told.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -61,6 +61,12 @@
     And it hears that the third version is "MOVING"
     Then a second attempt goes to the version of before
 
+  Scenario: A version that comes after a completed rollout is used without an order
+    Given a daemon of a fleet of 64 that may expose 0.1 of the requests and 50 more
+    And it hears that the new version is "DONE"
+    When a server of a third version appears later
+    Then requests go to the new and the third version, and no more to the one before
+
   # What is bad
 
   Scenario Outline: An answer is bad by its server's doing
--- a/hornbeamgw/core/exposure.py
+++ b/hornbeamgw/core/exposure.py
@@ -72,12 +72,13 @@
         self.members = 1
         self.standings_by_version: dict[Version, Standing] = {}
         self.current_by_service: dict[str, Standing] = {}
+        self.heard_at_by_service: dict[str, float] = {}
         self.spent_by_version: dict[Version, _Spent] = {}
         self.first_seen_by_version: dict[Version, float] = {}
         self.generation = 0
 
 
-def hear(state: ExposureState, heard: Standing) -> bool:
+def hear(state: ExposureState, heard: Standing, now: float) -> bool:
     """Take a standing and return whether it is news."""
     version = heard.service, heard.target
     held = state.standings_by_version.get(version)
@@ -90,6 +91,7 @@
     current = state.current_by_service.get(heard.service)
     if current is None or heard.number >= current.number:
         state.current_by_service[heard.service] = heard
+        state.heard_at_by_service[heard.service] = now
     return True
 
 
@@ -149,7 +151,7 @@
 class Arm(enum.Enum):
     """Say among which servers of a service one is chosen."""
 
-    BEFORE = "before"  # those that are not rolled out just now
+    BEFORE = "before"  # those of versions in use
     TURN = "turn"  # those of the new version whose turn it is to be tried
     NEW = "new"  # all of the new version
 
@@ -157,10 +159,8 @@
 def arm_of(state: ExposureState, asked: Asked, wall: float, rng: random.Random) -> Arm:
     """Return among which servers one is chosen for a request, by the time of day (s)."""
     current = state.current_by_service.get(asked.service)
-    if current is None or current.phase in (Phase.HELD, Phase.BACK):
+    if current is None or current.is_final or current.phase is Phase.HELD:
         return Arm.BEFORE
-    if current.phase is Phase.DONE:
-        return Arm.NEW
     if not asked.is_first_attempt or not _has_room(state, current, rng):
         return Arm.BEFORE
     if current.phase is Phase.TRIAL:
@@ -185,7 +185,10 @@
 def servers_before(
     state: ExposureState, service: str, servers: Sequence[Member], now: float
 ) -> list[Member]:
-    """Return the servers of versions that are in use, or that nobody has given an order for."""
+    """Return the servers of versions in use: those that came before or after a rollout.
+
+    Once a rollout is completed, its version is in use, and those that it replaced no longer are.
+    """
     usable = [m for m in servers if _is_open(state, service, m.software)]
     settled = [m for m in usable if not _is_newcomer(state, service, m.software, usable, now)]
     return settled or usable
@@ -193,11 +196,12 @@
 
 def _is_open(state: ExposureState, service: str, software: str) -> bool:
     """Return whether a version is in use as far as orders go."""
+    current = state.current_by_service.get(service)
+    if current is not None and current.phase is Phase.DONE and software != current.target:
+        seen = state.first_seen_by_version.get((service, software), math.inf)
+        return seen > state.heard_at_by_service[service]
     standing = state.standings_by_version.get((service, software))
-    if standing is None:
-        return True
-    is_current = state.current_by_service[service].target == software
-    return standing.phase is Phase.DONE and not is_current
+    return standing is None or standing.phase is Phase.DONE
 
 
 def _is_newcomer(
--- a/hornbeamgw/daemon/rollouts/leader.py
+++ b/hornbeamgw/daemon/rollouts/leader.py
@@ -269,8 +269,9 @@
                     return  # The next tick decides anew, by what is known then.
             ceiling = min(RECORD_RETRY_MAX_S, RECORD_RETRY_S * 2**failures)
             await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
-        if step is not None and not state.standing.is_final:
-            self._tell(state, _decided_step(state, decided, step.why))
+        if decided >= Phase.BACK and not state.standing.is_final:
+            why = "it was decided before" if step is None else step.why
+            self._tell(state, _decided_step(state, decided, why))
 
     async def _write_once(self, standing: Standing) -> Phase:
         """Write a status unless another was decided before; return what holds then."""
--- a/hornbeamgw/daemon/rollouts/rollouts.py
+++ b/hornbeamgw/daemon/rollouts/rollouts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections import Counter
 from collections.abc import Callable
@@ -43,7 +44,7 @@
         return standing in self._told_by_version.values()
 
     def _hear(self, standing: Standing, source: str) -> bool:
-        if not exposure.hear(self.state, standing):
+        if not exposure.hear(self.state, standing, asyncio.get_running_loop().time()):
             return False
         self.counts[f"heard.{standing.phase.name.lower()}"] += 1
         log.info("rollout", extra={**_told(standing), "told_by": source})
--- a/hornbeamgw/testing/rollout_model.py
+++ b/hornbeamgw/testing/rollout_model.py
@@ -211,8 +211,10 @@
             new = [s for s in new if s.member in turn]
         if arm is not Arm.BEFORE and new:
             return self._idler(new)
-        old = self._up(self.old)
-        return self._idler(old) if old else None
+        current = state.current_by_service.get(SERVICE)
+        is_done = current is not None and current.phase is Phase.DONE
+        before = new if is_done else self._up(self.old)
+        return self._idler(before) if before else None
 
     def _idler(self, servers: list[_Server]) -> _Server:
         """Return the one of two that is less busy, as a daemon's choice by load would."""
@@ -323,7 +325,7 @@
         rollout.hear(leader, standing, self.now)
 
     def _hear(self, daemon: int, standing: Standing) -> None:
-        exposure.hear(self.states[daemon], standing)
+        exposure.hear(self.states[daemon], standing, self.now)
 
     def _restart_daemons(self) -> None:
         count = round(self.trouble.daemons_restart * len(self.states))
@@ -331,7 +333,7 @@
             fresh = ExposureState(BOUND)
             exposure.note_members(fresh, len(self.states))
             for standing in self.states[index].standings_by_version.values():
-                exposure.hear(fresh, standing)
+                exposure.hear(fresh, standing, self.now)
             self.states[index] = fresh
 
     # Leaders
