Leave a slot to short calls that are more urgent than the long work beside them

Hypothesis: on the shifted work the kind that carries most makes calls of 40 ms, one after the other, at servers whose slots long reads of 640 ms fill; each call waits for one of these to end or is refused, and the request that makes it holds its own slot or fails with it.

Change: long, less urgent work leaves one free slot, unless a more urgent request already runs, where short urgent calls used at least a quarter of a slot of late.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -26,6 +26,31 @@
     And reports of 240 ms with an objective of 600 ms arrive until one is refused
     Then a lookup of 48 ms with an objective of 250 ms still finds room
 
+  Scenario: Long work leaves a slot to short calls that are more urgent
+    Given an idle server with 6 slots
+    And urgent calls of 40 ms have come 18 times a second for 3 seconds
+    When 8 reports of 640 ms with an objective of 2100 ms arrive
+    Then 5 slots are taken
+    And an urgent call of 40 ms runs at once
+    And a report that was waiting does not run before one has ended
+
+  Scenario: A few short calls are worth no slot, nor are those that came long ago
+    Given an idle server with 6 slots
+    And urgent calls of 40 ms have come 2 times a second for 3 seconds
+    When 8 reports of 640 ms with an objective of 2100 ms arrive
+    Then 6 slots are taken
+    Given an idle server with 6 slots
+    And urgent calls of 40 ms have come 18 times a second for 3 seconds
+    And nothing has come for 5 seconds
+    When 8 reports of 640 ms with an objective of 2100 ms arrive
+    Then 6 slots are taken
+
+  Scenario: A server with two slots spares none
+    Given an idle server with 2 slots
+    And urgent calls of 40 ms have come 18 times a second for 3 seconds
+    When 8 reports of 640 ms with an objective of 2100 ms arrive
+    Then 2 slots are taken
+
   Scenario: A newcomer does not push out what was let in
     Given a busy server whose 6 slots hold work of 60 ms that has just begun
     When 6 checks of 15 ms with an objective of 100 ms arrive
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -12,6 +12,7 @@
 from hornbeamgw.testing.simulated import WIDE, Fleet, Kind
 
 DEADLINE_BY_KIND = {"lookup": 0.5, "report": 1.5, "check": 0.2, "work": 1.5}
+DEADLINE_BY_KIND |= {"call": 0.9, "long report": 5.0}
 
 
 def learn(state, kind, work_ms):
@@ -182,3 +183,45 @@
     mean = outcome.served.total() / outcome.asked.total()
     for kind, count in outcome.asked.items():
         assert outcome.served[kind] / count >= mean / 4, (outcome.asked, outcome.served)
+
+
+@given("urgent calls of {work:d} ms have come {rate:d} times a second for {seconds:d} seconds")
+def urgent_calls(context, work, rate, seconds):
+    for _ in range(rate * seconds):
+        context.now += 1 / rate
+        decision = arrive(context, "call", work, 270, priority=1)
+        assert isinstance(decision, Admitted), decision
+        started = context.now
+        admission.finish(
+            context.state, decision.request.attempt, started - work / 1000, context.now
+        )
+
+
+@given("nothing has come for {seconds:d} seconds")
+def nothing(context, seconds):
+    context.now += seconds
+
+
+@when("{count:d} reports of {work:d} ms with an objective of {objective:d} ms arrive")
+def reports_arrive(context, count, work, objective):
+    for _ in range(count):
+        arrive(context, "long report", work, objective, priority=2)
+
+
+@then("{count:d} slots are taken")
+def taken(context, count):
+    assert len(context.state.running_by_attempt) == count, len(context.state.running_by_attempt)
+
+
+@then("an urgent call of {work:d} ms runs at once")
+def urgent_runs(context, work):
+    assert isinstance(arrive(context, "call", work, 270, priority=1), Admitted)
+
+
+@then("a report that was waiting does not run before one has ended")
+def waits_on(context):
+    waiting = list(context.state.queue)
+    assert waiting and not admission.next_decisions(context.state, context.now)
+    report = next(r for r in context.state.running_by_attempt.values() if r.priority == 2)
+    decided = admission.finish(context.state, report.attempt, context.now - 0.6, context.now)
+    assert [d.request for d in decided if isinstance(d, Admitted)] == waiting[:1], decided
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -83,14 +83,17 @@
     )
 
 
-def _has_slot(state: AdmissionState, request: Request) -> bool:
+def _has_slot(state: AdmissionState, request: Request, now: float) -> bool:
     running = state.running_count_by_entry.get(request.entry, 0)
     if running >= request.limits.slots:
         return False
     free = state.slots - len(state.running_by_attempt)
     if running < request.limits.reserved:
         return free > 0
-    return free > _held_for_others(state, request.entry)
+    held = _held_for_others(state, request.entry)
+    if free <= held:
+        return False
+    return free > held + state.policy.held_for_urgent(state, request, now)
 
 
 def _remember(state: AdmissionState, attempt: AttemptId, fate: Fate, now: float) -> None:
@@ -129,7 +132,7 @@
 
 
 def _may_start(state: AdmissionState, request: Request, now: float) -> bool:
-    return _has_slot(state, request) and state.policy.may_start(state, request, now)
+    return _has_slot(state, request, now) and state.policy.may_start(state, request, now)
 
 
 def _unfit_to_wait(state: AdmissionState, request: Request, now: float) -> Reason | None:
@@ -143,6 +146,7 @@
 def _start(state: AdmissionState, request: Request, now: float) -> Admitted:
     state.running_by_attempt[request.attempt] = request
     state.started_by_attempt[request.attempt] = now
+    queueing.note_start(state, request, now)
     count = state.running_count_by_entry.get(request.entry, 0)
     state.running_count_by_entry[request.entry] = count + 1
     _remember(state, request.attempt, Fate.RUNNING, now)
@@ -188,7 +192,7 @@
         _refuse(state, request, Reason.QUEUE_TIMEOUT, now) for request in late
     ]
     for request in state.policy.order(state, now):
-        if _has_slot(state, request):
+        if _has_slot(state, request, now):
             state.queue.remove(request)
             decisions.append(_start(state, request, now))
     return decisions
@@ -236,6 +240,7 @@
     """Forget how fast the backend server was: another run of it has been started."""
     state.times = ServiceTimes()
     state.slacks_by_route.clear()
+    state.uses_by_route.clear()
     state.started_by_attempt.clear()
     state.service_time = FIRST_SERVICE_TIME_S
 
--- a/hornbeamgw/core/queueing.py
+++ b/hornbeamgw/core/queueing.py
@@ -11,6 +11,10 @@
 dropped only for a more urgent priority, or once the deadline is out of reach. Work that can
 only be late takes slots that are free, since each slot second spent on it makes one more caller
 come back.
+
+Beside short calls that are more urgent, long work leaves a slot free. Such calls are made by
+requests that hold a slot of another service meanwhile: where work of 640 ms fills all slots, each
+of them waits for a tenth of a second, and the service that makes them is full before its time.
 """
 
 from __future__ import annotations
@@ -24,6 +28,7 @@
     QueuePolicy,
     Request,
     Slack,
+    Use,
     policies_by_name,
 )
 from hornbeamgw.core.verdict import Reason
@@ -42,6 +47,11 @@
 # Work should wait at most this many times as long as it takes. On the grown deployments calls of
 # 19 ms waited 55 to 100 ms at three quarters of their load, and their callers' slots with them.
 STRETCH = 3.0
+# Servers with fewer slots can't spare one, and it isn't worth it for calls that would use less than
+# this part of it; how much they use is averaged over this time (s).
+LEAST_SLOTS_TO_HOLD = 4
+LEAST_USE_TO_HOLD = 0.25
+USE_AVERAGED_S = 2.0
 # A slot may be held by work that can only be late while this many others are free.
 FREE_SLOTS_FOR_LATE = 1
 
@@ -131,13 +141,44 @@
     slacks = [
         known.slack
         for known in state.slacks_by_route.values()
-        if known.priority <= request.priority
-        and known.length < SHORTER_PART * held
-        and now - known.seen_at < SLACK_MEMORY_S
+        if known.priority <= request.priority and _is_shorter(known, held, now)
     ]
     return min(slacks, default=math.inf) * SLACK_PART
 
 
+def _is_shorter(known: Slack, held: float, now: float) -> bool:
+    """Return whether a route was seen of late that takes much less than a time (s)."""
+    return known.length < SHORTER_PART * held and now - known.seen_at < SLACK_MEMORY_S
+
+
+def _objective_held(state: AdmissionState, request: Request, now: float) -> int:
+    """Return how many free slots a request leaves to shorter work that is more urgent."""
+    if state.slots < LEAST_SLOTS_TO_HOLD:
+        return 0
+    held = length(state, request, now)
+    use = sum(
+        _use_of(state, route, now)
+        for route, known in state.slacks_by_route.items()
+        if known.priority < request.priority and _is_shorter(known, held, now)
+    )
+    if use < LEAST_USE_TO_HOLD:
+        return 0
+    running = state.running_by_attempt.values()
+    return 0 if any(other.priority < request.priority for other in running) else 1
+
+
+def _use_of(state: AdmissionState, route: str, now: float) -> float:
+    """Return how many slots requests of a route have used of late, on average."""
+    known = state.uses_by_route.get(route)
+    return 0.0 if known is None else known.slots * math.exp((known.at - now) / USE_AVERAGED_S)
+
+
+def note_start(state: AdmissionState, request: Request, now: float) -> None:
+    """Count the slot that a request takes from now on."""
+    added = length(state, request, now) / USE_AVERAGED_S
+    state.uses_by_route[request.route] = Use(_use_of(state, request.route, now) + added, now)
+
+
 def _note_slack(state: AdmissionState, request: Request, now: float) -> None:
     held = length(state, request, now)
     slack = max(0.0, request.aim * (1 - MARGIN) - held - request.transfer)
@@ -165,7 +206,7 @@
     """Return whether a request may take a free slot at once."""
     _note_slack(state, request, now)
     end = now + length(state, request, now)
-    if state.queue:
+    if any(waiting.priority <= request.priority for waiting in state.queue):
         return False
     if end + request.transfer <= request.objective:
         return True
@@ -212,6 +253,7 @@
     _deadline_too_late,
     _deadline_room,
     _deadline_wait,
+    lambda state, request, now: 0,
 )
 policies_by_name["objective"] = QueuePolicy(
     _objective_may_start,
@@ -220,6 +262,7 @@
     _objective_too_late,
     _objective_room,
     _objective_wait,
+    _objective_held,
 )
 
 
--- a/hornbeamgw/core/slots.py
+++ b/hornbeamgw/core/slots.py
@@ -87,7 +87,8 @@
 class QueuePolicy(NamedTuple):
     """Hold who may start, who may wait, who goes next, who gives up, and when there is room.
 
-    The time until there is room, and the wait of one that may wait, are in seconds from now.
+    Of the slots that are free some may be held for more urgent requests. The time until there is
+    room, and the wait of one that may wait, are in seconds from now.
     """
 
     may_start: Callable[[AdmissionState, Request, float], bool]
@@ -96,6 +97,7 @@
     too_late: Callable[[AdmissionState, float], list[Request]]
     room_after: Callable[[AdmissionState, Request, float], float]
     wait: Callable[[AdmissionState, Request, float], float]
+    held_for_urgent: Callable[[AdmissionState, Request, float], int]
 
 
 policies_by_name: dict[str, QueuePolicy] = {}
@@ -117,6 +119,13 @@
     seen_at: float
 
 
+class Use(NamedTuple):
+    """Hold how many slots a route used on average until a time (s)."""
+
+    slots: float
+    at: float
+
+
 class AdmissionState:
     """Hold the backend server as it announced itself, and what runs and waits there."""
 
@@ -133,6 +142,7 @@
         self.service_time = FIRST_SERVICE_TIME_S
         self.times = ServiceTimes()
         self.slacks_by_route: dict[str, Slack] = {}
+        self.uses_by_route: dict[str, Use] = {}
         self.started_by_attempt: dict[AttemptId, float] = {}
         self.warm_at = 0.0
         self.policy = policies_by_name[policy]
