Tell at once that a rollout is done where no other version lives

Cause (reading): with nothing to be stopped, the decision still waited for its status to be written; a fleet that restarted as a whole just before the store went away would have kept its only version shut.

Measured: a scenario with real daemons; the good rollout and the one in force hold.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -166,6 +166,13 @@
     When the operator orders version "v1" within 6 seconds
     Then the operator reads "completed" within 3 seconds
 
+  Scenario: All daemons start again after a rollout, just before the store goes away
+    Given three daemons with a server each, and callers that never rest
+    When the operator orders version "v1" within 6 seconds
+    Then the operator reads "completed" within 3 seconds
+    When all daemons restart, and the store goes away a moment later
+    Then calls are answered again within 4 seconds
+
   Scenario: A version of which no server is started is taken back when the order is due
     Given three daemons with a server each, and callers that never rest
     When the operator orders version "v9" within 2 seconds
--- a/features/steps/rollouts_live.py
+++ b/features/steps/rollouts_live.py
@@ -259,6 +259,26 @@
     context.runner.run(herd())
 
 
+@when("all daemons restart, and the store goes away a moment later")
+def restart_and_lose(context):
+    async def herd():
+        await asyncio.gather(*(restart(context, daemon) for daemon in list(context.living)))
+        await asyncio.sleep(0.05)
+        context.store.fault = "outage"
+
+    context.runner.run(herd())
+
+
+@then("calls are answered again within {seconds:d} seconds")
+def answered_again(context, seconds):
+    async def check():
+        async with asyncio.timeout(seconds):
+            while context.statuses[-50:].count(200) < 50:
+                await asyncio.sleep(0.02)
+
+    context.runner.run(check())
+
+
 @when('the store comes back from that copy as soon as the operator reads "{state}"')
 def back_when(context, state):
     async def come():
--- a/hornbeamgw/daemon/rollouts/leader.py
+++ b/hornbeamgw/daemon/rollouts/leader.py
@@ -179,10 +179,11 @@
             self._rollouts.tell(state.standing, is_urgent=False)
         state.lag = rank * LAG_S
         now = asyncio.get_running_loop().time()
-        step = rollout.next_step(state, self._seen(state, now), now)
+        seen = self._seen(state, now)
+        step = rollout.next_step(state, seen, now)
         if step is None:
             return
-        if step.standing.phase is Phase.DONE:
+        if step.standing.phase is Phase.DONE and seen.before:
             # The servers of before are stopped once it is written, so it is told only then.
             self._record(state, step)
         else:
