Make a server's key once, not with each look at it

Change: a candidate carries its key; the set is built only while a rollout is known; only the last free slot is asked about. The steps that make candidates use the same function.

--- a/features/steps/crossing.py
+++ b/features/steps/crossing.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from hornbeamgw.core import crossing, placement
-from hornbeamgw.core.balancing import Candidate, Choice, Load
+from hornbeamgw.core.balancing import Choice, Load, candidate_of
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.placement import RouteTraits
 from hornbeamgw.testing import mesh_load
@@ -23,7 +23,7 @@
     load = Load(NOW)
     free = 0 if wait_ms else SLOTS
     placement.note_report(load, free, wait_ms / 1000, NOW)
-    return Candidate(Member(name, data_centre, "jm", 1, 0, service="s", slots=SLOTS), load)
+    return candidate_of(Member(name, data_centre, "jm", 1, 0, service="s", slots=SLOTS), load)
 
 
 @given("{kind} of {work:d} ms with {aim:d} ms to answer, {size:d} bytes large")
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from hornbeamgw.core import balancing, placement
-from hornbeamgw.core.balancing import Candidate, Choice, Load
+from hornbeamgw.core.balancing import Choice, Load, candidate_of
 from hornbeamgw.core.membership import Member
 from hornbeamgw.testing import simulated
 from hornbeamgw.testing.simulated import Fleet, Kind
@@ -34,7 +34,7 @@
         load = Load(context.now)
         load.slowness = took / 1000 / NORMAL
         placement.note_report(load, 6, 0.0, context.now)
-        context.by_name[name] = Candidate(server(name, data_centre), load)
+        context.by_name[name] = candidate_of(server(name, data_centre), load)
 
 
 @given("answers are {size:d} bytes large")
--- a/features/steps/sampling.py
+++ b/features/steps/sampling.py
@@ -8,7 +8,7 @@
 
 from hornbeamgw.core import admission, crossing, placement, sampling, service_times
 from hornbeamgw.core.admission import AttemptId, Queued, Refused, Request
-from hornbeamgw.core.balancing import Candidate, Choice, Load
+from hornbeamgw.core.balancing import Choice, Load, candidate_of
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.placement import RouteTraits
 from hornbeamgw.testing import simulated
@@ -30,7 +30,7 @@
         Member(f"s{i}", f"dc-{i // 3 % DATA_CENTRES}", "region", 1, service="s", slots=slots)
         for i in range(count)
     ]
-    candidates = [Candidate(member, Load(NOW)) for member in members]
+    candidates = [candidate_of(member, Load(NOW)) for member in members]
     me = Member("me", "dc-0", "region", 1)
     context.choice = Choice(me, candidates, (), RouteTraits(LOOKUP.aim), LOOKUP.aim, NOW)
 
--- a/features/steps/servers.py
+++ b/features/steps/servers.py
@@ -9,7 +9,7 @@
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, StoredRow
 from hornbeamgw.core import balancing, membership
-from hornbeamgw.core.balancing import Candidate, Load
+from hornbeamgw.core.balancing import Load, candidate_of
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.node import Envelope
 from hornbeamgw.core.registration import Departure, Heartbeat
@@ -206,7 +206,7 @@
     expected = {number_of(context, name) for name in ("i-1", "i-2")}
     assert set(targets(context)) == expected, targets(context)
     members = balancing.serving([context.view.me], "roster")
-    keys = {Candidate(member, Load(0.0)).key for member in members}
+    keys = {candidate_of(member, Load(0.0)).key for member in members}
     assert len(keys) == 2, keys
 
 
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -91,9 +91,9 @@
     if running < request.limits.reserved:
         return free > 0
     held = _held_for_others(state, request.entry)
-    if free <= held:
-        return False
-    return free > held + state.policy.held_for_urgent(state, request, now)
+    if free != held + 1:
+        return free > held
+    return not state.policy.keeps_last_slot(state, request, now)
 
 
 def _remember(state: AdmissionState, attempt: AttemptId, fate: Fate, now: float) -> None:
--- a/hornbeamgw/core/balancing.py
+++ b/hornbeamgw/core/balancing.py
@@ -47,15 +47,19 @@
 
 
 class Candidate(NamedTuple):
-    """Hold a backend server that may take an attempt, by the record that describes it alone."""
+    """Hold a backend server that may take an attempt, by the record that describes it alone.
+
+    Its key tells it from all others; every choice goes through those of all candidates.
+    """
 
     member: Member
     load: Load
+    key: str
 
-    @property
-    def key(self) -> str:
-        """Return what tells this server from all others."""
-        return server_key(self.member)
+
+def candidate_of(member: Member, load: Load) -> Candidate:
+    """Return a backend server that may take an attempt."""
+    return Candidate(member, load, server_key(member))
 
 
 Policy = Callable[[Sequence[Candidate], float, random.Random], Candidate]
--- a/hornbeamgw/core/placement.py
+++ b/hornbeamgw/core/placement.py
@@ -86,7 +86,7 @@
 
 def expected_wait(candidate: Candidate, traits: RouteTraits, now: float) -> float:
     """Return how long (s) a request is expected to wait for a slot there."""
-    member, load = candidate
+    member, load = candidate.member, candidate.load
     return _wait(load, max(1, member.slots), traits.service * load.slowness, now)
 
 
--- a/hornbeamgw/core/queueing.py
+++ b/hornbeamgw/core/queueing.py
@@ -151,10 +151,10 @@
     return known.length < SHORTER_PART * held and now - known.seen_at < SLACK_MEMORY_S
 
 
-def _objective_held(state: AdmissionState, request: Request, now: float) -> int:
-    """Return how many free slots a request leaves to shorter work that is more urgent."""
+def _objective_keeps_last(state: AdmissionState, request: Request, now: float) -> bool:
+    """Return whether a request leaves the last free slot to shorter work that is more urgent."""
     if state.slots < LEAST_SLOTS_TO_HOLD:
-        return 0
+        return False
     held = length(state, request, now)
     use = sum(
         _use_of(state, route, now)
@@ -162,9 +162,9 @@
         if known.priority < request.priority and _is_shorter(known, held, now)
     )
     if use < LEAST_USE_TO_HOLD:
-        return 0
+        return False
     running = state.running_by_attempt.values()
-    return 0 if any(other.priority < request.priority for other in running) else 1
+    return not any(other.priority < request.priority for other in running)
 
 
 def _use_of(state: AdmissionState, route: str, now: float) -> float:
@@ -253,7 +253,7 @@
     _deadline_too_late,
     _deadline_room,
     _deadline_wait,
-    lambda state, request, now: 0,
+    lambda state, request, now: False,
 )
 policies_by_name["objective"] = QueuePolicy(
     _objective_may_start,
@@ -262,7 +262,7 @@
     _objective_too_late,
     _objective_room,
     _objective_wait,
-    _objective_held,
+    _objective_keeps_last,
 )
 
 
--- a/hornbeamgw/core/sampling.py
+++ b/hornbeamgw/core/sampling.py
@@ -58,7 +58,7 @@
 
 
 def _is_fit(choice: Choice, candidate: Candidate) -> bool:
-    member, load = candidate
+    member, load = candidate.member, candidate.load
     usable = member.status is Status.ALIVE and load.ejected_until <= choice.now
     return usable and candidate.key not in choice.tried
 
--- a/hornbeamgw/core/slots.py
+++ b/hornbeamgw/core/slots.py
@@ -87,8 +87,8 @@
 class QueuePolicy(NamedTuple):
     """Hold who may start, who may wait, who goes next, who gives up, and when there is room.
 
-    Of the slots that are free some may be held for more urgent requests. The time until there is
-    room, and the wait of one that may wait, are in seconds from now.
+    The last slot that is free may be kept for more urgent requests. The time until there is room,
+    and the wait of one that may wait, are in seconds from now.
     """
 
     may_start: Callable[[AdmissionState, Request, float], bool]
@@ -97,7 +97,7 @@
     too_late: Callable[[AdmissionState, float], list[Request]]
     room_after: Callable[[AdmissionState, Request, float], float]
     wait: Callable[[AdmissionState, Request, float], float]
-    held_for_urgent: Callable[[AdmissionState, Request, float], int]
+    keeps_last_slot: Callable[[AdmissionState, Request, float], bool]
 
 
 policies_by_name: dict[str, QueuePolicy] = {}
--- a/hornbeamgw/daemon/servers.py
+++ b/hornbeamgw/daemon/servers.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from hornbeamgw.core import balancing, crossing, exposure, placement, sampling, subsetting
-from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load
+from hornbeamgw.core.balancing import Candidate, Choice, Chooser, Load, candidate_of
 from hornbeamgw.core.exposure import Arm, ExposureBound, ExposureState
 from hornbeamgw.core.membership import Member, server_key
 from hornbeamgw.core.placement import PlacementState, RouteTraits
@@ -76,7 +76,7 @@
         if candidates is None:
             found = self._of_arm(view, service, now, arm)
             known = subsetting.known_servers(view.me, found)
-            candidates = [Candidate(member, self._load(member, now)) for member in known]
+            candidates = [candidate_of(member, self._load(member, now)) for member in known]
             if arm is not Arm.TURN:
                 self._candidates_by_arm[service, arm] = candidates
         return candidates
@@ -166,8 +166,10 @@
         return None
 
     def _best_taker(self, call: Call, choice: Choice) -> Candidate | None:
-        usable = {c.key for c in choice.candidates}
-        takers = [c for c in call.takers if c.key in usable and c.key not in call.tried]
+        takers = [c for c in call.takers if c.key not in call.tried]
+        if self._exposed.current_by_service:
+            usable = {c.key for c in choice.candidates}
+            takers = [c for c in takers if c.key in usable]
         return sampling.best(choice, takers)
 
     def _ask_own(self, call: Call, choice: Choice) -> Candidate | None:
--- a/hornbeamgw/testing/mesh_model.py
+++ b/hornbeamgw/testing/mesh_model.py
@@ -22,7 +22,7 @@
     Refused,
     Request,
 )
-from hornbeamgw.core.balancing import Candidate, Choice, Load
+from hornbeamgw.core.balancing import Choice, Load, candidate_of
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.placement import RouteTraits
 from hornbeamgw.core.snapshot import Limits
@@ -163,7 +163,7 @@
     def _place(self, task: _Task) -> None:
         kind, place = task.kind, task.place
         pairs = zip(self._members, self._loads[place], strict=True)
-        fit = [Candidate(m, load) for m, load in pairs if m.service == kind.service]
+        fit = [candidate_of(m, load) for m, load in pairs if m.service == kind.service]
         fit = [c for c in fit if c.member.server_state is ServerState.SERVING]
         traits = self._traits_of(place, kind)
         objective = task.born + kind.aim
--- a/hornbeamgw/testing/simulated.py
+++ b/hornbeamgw/testing/simulated.py
@@ -17,7 +17,7 @@
     Refused,
     Request,
 )
-from hornbeamgw.core.balancing import Candidate, Choice, Load
+from hornbeamgw.core.balancing import Candidate, Choice, Load, candidate_of
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.placement import RouteTraits
 from hornbeamgw.core.snapshot import Limits
@@ -153,7 +153,7 @@
         tried: list[str] = []
         for attempt_number in range(number, number + TRIES):
             candidates = [
-                Candidate(member, self._loads[daemon][self._index_by_address[member.address]])
+                candidate_of(member, self._loads[daemon][self._index_by_address[member.address]])
                 for member in self._known(daemon)
             ]
             choice = Choice(self._daemons[daemon], candidates, tried, traits, kind.aim, now)
