Tell what an answer that breaks off waited for, and name each call that a stop cuts off

The line on a stop that cut work off counted callers' connections and named no call of theirs, and the one on a broken answer said nothing of its progress, so an answer that starves on a busy link couldn't be told from a lost grant, a slow caller or a lost link. No decision changes. A scenario on a second signal now also reads the line of the call that was cut off.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -11,6 +11,7 @@
     Given a fleet of 2 processes with a roster server beside the second
     When the second daemon is told twice to stop while a call runs there
     Then the daemon exits with code 3 and its log names the call that was cut off
+    And its log tells that this call waited for the "server", and for how long
 
   Scenario: SIGHUP is no reason to stop
     Given a fleet of 2 processes with a roster server beside the second
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -137,6 +137,16 @@
     assert context.code == 3 and said and call_id in said[0], (context.code, said)
 
 
+@then('its log tells that this call waited for the "{what}", and for how long')
+def cut_off_why(context, what):
+    lines = context.fleet.nodes[1].daemon.log_path.read_text().splitlines()
+    rows = [msgspec.json.decode(line) for line in lines]
+    call_id = header(context.response.headers, heads.CALL_ID).decode()
+    told = [row for row in rows if row.get("call_id") == call_id and "waits_for" in row]
+    assert [row["waits_for"] for row in told] == [what], rows
+    assert told[0]["waited_ms"] > 0 and told[0]["passed_on"] == 0, told
+
+
 def command(context, *words, code=0):
     """Run the command line against the first daemon and return what it printed."""
     admin = ["--daemon", context.fleet.nodes[0].admin]
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -22,6 +22,7 @@
 from hornbeamgw.daemon.attempts import Attempt
 from hornbeamgw.daemon.http1 import Headers, end_to_end, header
 from hornbeamgw.daemon.http_server import BadRequest
+from hornbeamgw.daemon.progress import Progress
 
 log = logging.getLogger(__name__)
 
@@ -103,6 +104,7 @@
         self.placed: list[Placed] = []
         self.status = 0
         self.fingerprint = UNKNOWN
+        self.progress = Progress(0.0)
 
 
 def objective_left_ms(call: Call, now: float) -> int:
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -48,6 +48,7 @@
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, header
 from hornbeamgw.daemon.http_server import BadRequest
 from hornbeamgw.daemon.link import LinkLost
+from hornbeamgw.daemon.progress import Progress, Unfinished, unfinished
 from hornbeamgw.daemon.quarantine import Quarantine
 from hornbeamgw.daemon.request_body import answer_expect, take_body
 from hornbeamgw.daemon.server_answer import SERVER_ERROR
@@ -105,6 +106,7 @@
         self.counts: Counter[str] = Counter()
         self.histograms = Histograms()
         self.draining = False
+        self._under_way: set[Call] = set()
         self._view = view
         self._links = links
         self._servers = servers
@@ -132,13 +134,16 @@
         answer_expect(connection)
         await take_body(connection, found, self._replay_limit)
         found.fingerprint = fingerprint_of_call(found, self._dialect)
+        found.progress = Progress(started)
         timer = loop.call_at(found.deadline, self._expire, found)
         connection.on_lost = lambda: self._leave(found)
+        self._under_way.add(found)
         try:
             failure = await self._attempt_until_done(connection, found, view)
         finally:
             timer.cancel()
             connection.on_lost = None
+            self._under_way.discard(found)
         owner = (found.route.entry.owner, found.route.entry.traffic_class)
         elapsed = loop.time() - started
         verdict = Verdict.ANSWERED if failure is None else failure.verdict
@@ -149,6 +154,10 @@
             self.counts[f"failed.{failure.reason}"] += 1
             self._fail(connection, failure, call_id)
 
+    def unfinished(self, now: float) -> list[Unfinished]:
+        """Return the calls of callers that are under way."""
+        return [unfinished(call.call_id, call.progress, now) for call in self._under_way]
+
     def _open(self, view: View, request: h11.Request, call_id: str, now: float) -> Call | Failure:
         if not view.ready:
             return not_run(Reason.NOT_READY, "no version in force", NOT_READY_RETRY_MS)
@@ -399,7 +408,9 @@
             await relay.answer(connection, call, attempt, reply, self.draining, self._pacer)
         except (ConnectionLost, h11.LocalProtocolError) as error:
             self.counts["broken_answers"] += 1
-            log.warning("answer broken off", extra={"call_id": call.call_id, "error": str(error)})
+            now = asyncio.get_running_loop().time()
+            told = unfinished(call.call_id, call.progress, now)._asdict()
+            log.warning("answer broken off", extra={**told, "error": str(error)})
             attempt.link.send(frames.Cancel(attempt.number))
             connection.abort()
 
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -26,6 +26,7 @@
     stop,
 )
 from hornbeamgw.daemon.link import Link
+from hornbeamgw.daemon.progress import Unfinished, unfinished
 from hornbeamgw.daemon.quarantine import Quarantine
 from hornbeamgw.daemon.server_answer import SERVER_ERROR
 from hornbeamgw.daemon.server_exchange import MAX_WAIT_MS, ServerExchange
@@ -155,6 +156,13 @@
             stop(attempt)
         return [attempt.call.call_id for attempt in running]
 
+    def unfinished(self, now: float) -> list[Unfinished]:
+        """Return the attempts that wait or run here, and those whose answers are on their way."""
+        return [
+            unfinished(attempt.call.call_id, attempt.progress, now)
+            for attempt in self._attempts.values()
+        ]
+
     def on_frame(self, link: Link, frame: frames.Frame) -> None:
         """Take a frame of a call from another daemon."""
         assert link.peer is not None
--- a/hornbeamgw/daemon/gate_attempt.py
+++ b/hornbeamgw/daemon/gate_attempt.py
@@ -16,6 +16,7 @@
 from hornbeamgw.daemon.http1 import HttpConnection
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.outgoing import Outgoing
+from hornbeamgw.daemon.progress import Progress
 
 log = logging.getLogger(__name__)
 
@@ -39,6 +40,12 @@
         self.started_at = self.arrived_at
         self.answered_at = 0.0
         self.is_tallied = False
+        self._progress = Progress(self.arrived_at)
+
+    @property
+    def progress(self) -> Progress:
+        """Return how far the answer has been passed on to the other daemon."""
+        return self._progress if self.outgoing is None else self.outgoing.progress
 
 
 def request_of(
--- a/hornbeamgw/daemon/gates.py
+++ b/hornbeamgw/daemon/gates.py
@@ -19,6 +19,7 @@
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.gate import RETRY_AFTER_NOT_READY_MS, Gate
 from hornbeamgw.daemon.link import Link
+from hornbeamgw.daemon.progress import Unfinished
 
 UNNUMBERED = 0
 # Beside a VM's server the next version of it may run, and for a while one that is leaving.
@@ -201,6 +202,10 @@
         while busy := [gate for gate in self.all if not gate.idle.is_set()]:
             await asyncio.gather(*(gate.idle.wait() for gate in busy))
 
+    def unfinished(self, now: float) -> list[Unfinished]:
+        """Return what is under way at all gates."""
+        return [told for gate in self.all for told in gate.unfinished(now)]
+
     def cut_off(self) -> list[str]:
         """End what still runs and return the call ids that were cut off."""
         return [call_id for gate in self.all for call_id in gate.cut_off()]
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -47,6 +47,7 @@
 )
 from hornbeamgw.daemon.peers import PeerServer
 from hornbeamgw.daemon.presence import OwnRow
+from hornbeamgw.daemon.progress import MOST_TOLD
 from hornbeamgw.daemon.quarantine import Quarantine
 from hornbeamgw.daemon.reader import Reader
 from hornbeamgw.daemon.reload import Reloader
@@ -305,7 +306,7 @@
         cut = asyncio.create_task(self._cut.wait())
         limit = self.settings.calls_drain_limit
         await asyncio.wait([drained, cut], timeout=limit, return_when=asyncio.FIRST_COMPLETED)
-        cut_off = [] if drained.done() else self._unfinished()
+        cut_off = [] if drained.done() else self._cut_off()
         self.control.leave()
         if cut_off:
             log.error("stopped with work in flight", extra={"cut_off": cut_off})
@@ -321,7 +322,15 @@
             await asyncio.sleep(0.01)
         await self.gates.wait_idle()
 
-    def _unfinished(self) -> list[str]:
+    def _cut_off(self) -> list[str]:
+        now = asyncio.get_running_loop().time()
+        for taken_from, found in (
+            ("caller", self.calls.unfinished(now)),
+            ("daemon", self.gates.unfinished(now)),
+        ):
+            for told in found[:MOST_TOLD]:
+                extra = {"taken_from": taken_from, **told._asdict()}
+                log.warning("cut off by the stop", extra=extra)
         return [*self.gates.cut_off(), f"{len(self.callers.connections)} connections of callers"]
 
     async def _close(self) -> None:
--- a/hornbeamgw/daemon/outgoing.py
+++ b/hornbeamgw/daemon/outgoing.py
@@ -13,6 +13,7 @@
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.flow import Mailbox, Pacer, Window
 from hornbeamgw.daemon.link import Link
+from hornbeamgw.daemon.progress import Progress, WaitsFor
 
 # Read ahead of the link by this much of one answer: the users' largest are 1.7 MB.
 BUFFER_BYTES = 2 * 1024 * 1024
@@ -31,6 +32,7 @@
     ) -> None:
         """Take where it goes, at which pace, and until when (loop time, s) it may take."""
         self.window = Window(pacer.window_bytes)
+        self.progress = Progress(asyncio.get_running_loop().time())
         self._link = link
         self._attempt = attempt
         self._pacer = pacer
@@ -66,13 +68,18 @@
             self._pacer.pending -= self._pending
 
     async def _send_all(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            self.progress.wait(WaitsFor.SERVER, loop.time())
             chunk = await self._chunks.get()
             for part in self._pacer.split(chunk.data):
+                self.progress.wait(WaitsFor.OTHER_DAEMON, loop.time())
                 await self.window.take(len(part))
+                self.progress.wait(WaitsFor.LINK, loop.time())
                 await self._pacer.leave(len(part), self._pending)
                 self._link.send(frames.Body(self._attempt, part, False))
                 self._room.add(len(part))
+                self.progress.passed_on += len(part)
                 self._pending -= len(part)
                 self._pacer.pending -= len(part)
             if chunk.end:
--- a/hornbeamgw/daemon/relay.py
+++ b/hornbeamgw/daemon/relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import h11
 
 from hornbeamgw.daemon import frames, heads
@@ -9,6 +11,7 @@
 from hornbeamgw.daemon.call import Call
 from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, header, response_of
+from hornbeamgw.daemon.progress import Progress, WaitsFor
 
 # Of an answer without a length, as much as the users' larger ones have, so that it goes after most.
 UNKNOWN_LEFT = 500_000
@@ -47,14 +50,20 @@
     if reply.end:
         events.append(h11.EndOfMessage())
     connection.send(*events)
+    call.progress.passed_on = len(reply.body)
     if not reply.end:
         attempt.link.send(frames.Credit(attempt.number, len(reply.body)))
-        await _rest(connection, attempt, pacer, size_of(reply) - len(reply.body))
+        left = size_of(reply) - len(reply.body)
+        await _rest(connection, attempt, pacer, left, call.progress)
 
 
-async def _rest(connection: HttpConnection, attempt: Attempt, pacer: Pacer, expected: int) -> None:
+async def _rest(
+    connection: HttpConnection, attempt: Attempt, pacer: Pacer, expected: int, progress: Progress
+) -> None:
+    loop = asyncio.get_running_loop()
     left = expected or UNKNOWN_LEFT
     while True:
+        progress.wait(WaitsFor.OTHER_DAEMON, loop.time())
         event = await attempt.events.get()
         if isinstance(event, Expired):
             # What has begun to arrive is of more use to the caller than an end cut off.
@@ -62,10 +71,13 @@
         if not isinstance(event, frames.Body):
             raise ConnectionLost(f"{type(event).__name__} before the end of the answer")
         if event.data:
+            progress.wait(WaitsFor.LINK, loop.time())
             await pacer.leave(len(event.data), left)
             left = max(len(event.data), left - len(event.data))
             connection.send(h11.Data(data=event.data))
+            progress.wait(WaitsFor.CALLER, loop.time())
             await connection.drain()
+            progress.passed_on += len(event.data)
             attempt.link.send(frames.Credit(attempt.number, len(event.data)))
         if event.end:
             connection.send(h11.EndOfMessage())
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -174,6 +174,7 @@
             attempt.limit.reschedule(limit)
         outgoing = self._open_outgoing(attempt, limit)
         outgoing.window.available -= len(first)
+        outgoing.progress.passed_on = len(first)
         outgoing.put(rest, end)
         size = len(first) + len(rest)
         while not end:
