Send answers first that a stopping daemon waits for

What callers saw: a daemon that was stopped by plan closed a connection in the middle of an answer that had been ready for seconds. Cause: parts of answers leave a VM with least left first, so that on a busy link a larger one waits for as long as smaller ones come; the daemon that waits for it ends by its limit. Why it works: the daemon that stops tells, by a flag of the frame that grants more, that it waits; the one beside the server sends such answers before all others, so that each needs the time of its own bytes only. Ruled out: turns in place of least left first (more answers would be late), and a limit on waiting for all (the link carries no more by it).

--- a/features/pacing.feature
+++ b/features/pacing.feature
@@ -21,6 +21,11 @@
     Then they are sent in the order 30, 60, 90 and 540
     And the one of 30 KB is sent within 150 ms
 
+  Scenario: An answer that becomes urgent while it waits goes before smaller ones
+    Given a pacer for a link of 3 Mbit/s
+    When answers of 540, 90, 60 and 30 KB are sent by it at once, and that of 540 becomes urgent
+    Then they are sent in the order 540, 30, 60 and 90
+
   Scenario: A sender that gives up holds nothing back
     Given a pacer for a link of 3 Mbit/s
     When answers of 90 and 60 KB are sent by it at once, and that of 60 given up
--- a/features/steps/pacing.py
+++ b/features/steps/pacing.py
@@ -9,7 +9,7 @@
 
 from hornbeamgw.core import pacing
 from hornbeamgw.core.pacing import LinkState
-from hornbeamgw.daemon.flow import Pacer
+from hornbeamgw.daemon.flow import Pacer, Urgency
 from hornbeamgw.daemon.http1 import HttpClient
 from hornbeamgw.testing.local import LocalFleet, edit_from_bodies, wait_for
 
@@ -68,11 +68,11 @@
     context.order, context.sent_at = [], {}
 
 
-async def send_by(pacer, context, kilobytes, began):
+async def send_by(pacer, context, kilobytes, began, urgency=None):
     left = kilobytes * 1000
     while left:
         part = min(pacer.part_bytes, left)
-        await pacer.leave(part, left)
+        await pacer.leave(part, left, urgency)
         left -= part
     context.order.append(kilobytes)
     context.sent_at[kilobytes] = asyncio.get_running_loop().time() - began
@@ -102,6 +102,25 @@
     send_all(context, (first, second), (gone,))
 
 
+@when(
+    "answers of {first:d}, {second:d}, {third:d} and {fourth:d} KB are sent by it at once,"
+    " and that of {urgent:d} becomes urgent"
+)
+def becomes_urgent(context, first, second, third, fourth, urgent):
+    async def run():
+        pacer, began = Pacer(context.bandwidth), asyncio.get_running_loop().time()
+        sizes = (first, second, third, fourth)
+        urgencies = {size: Urgency() for size in sizes}
+        sending = [send_by(pacer, context, size, began, urgencies[size]) for size in sizes]
+        tasks = [asyncio.create_task(each) for each in sending]
+        await asyncio.sleep(0.02)
+        urgencies[urgent].is_urgent = True
+        pacer.reorder()
+        await asyncio.gather(*tasks)
+
+    context.runner.run(run())
+
+
 @then("they are sent in the order {first:d}, {second:d}, {third:d} and {fourth:d}")
 def in_order(context, first, second, third, fourth):
     assert context.order == [first, second, third, fourth], context.order
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -4,7 +4,6 @@
   Whoever stops a daemon ends it some seconds later at the latest.
 
   # Guards against an answer cut off as its caller's daemon stops, while smaller ones keep its way busy.
-  @known_red
   Scenario: A large answer is whole though its caller's daemon stops and its server's link is busy
     Given a server beside a daemon with a link of 2 Mbit/s, and two more daemons
     And callers of one of them keep asking for answers of 40 KB, eight at a time
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -154,6 +154,13 @@
             self.counts[f"failed.{failure.reason}"] += 1
             self._fail(connection, failure, call_id)
 
+    def stop(self) -> None:
+        """Close each connection after its answer, and ask for answers to be sent first."""
+        self.draining = True
+        for call in self._under_way:
+            if call.current is not None:
+                _hurry(call.current)
+
     def unfinished(self, now: float) -> list[Unfinished]:
         """Return the calls of callers that are under way."""
         return [unfinished(call.call_id, call.progress, now) for call in self._under_way]
@@ -299,6 +306,8 @@
         call.current = attempt
         try:
             self._send_call(attempt, call, remaining)
+            if self.draining:
+                _hurry(attempt)
             exposure.note_sent(self._exposed, call.service, chosen.member.software)
             failure = await self._await_answer(connection, call, attempt, address)
             self._note_exposed(call, chosen, failure)
@@ -418,6 +427,11 @@
         send_failure(connection, failure, call_id, self._dialect, self.draining)
 
 
+def _hurry(attempt: Attempt) -> None:
+    """Ask the daemon beside the server to send an answer before others."""
+    attempt.link.send(frames.Credit(attempt.number, 0, urgent=True))
+
+
 def _no_server(service: str) -> Failure:
     detail = f"no backend server of {service} is known"
     return not_run(Reason.NO_BACKEND, detail, NO_ENDPOINT_RETRY_MS)
--- a/hornbeamgw/daemon/flow.py
+++ b/hornbeamgw/daemon/flow.py
@@ -59,19 +59,30 @@
         self.available -= size
 
 
+class Urgency:
+    """Hold whether a body goes before others."""
+
+    def __init__(self, is_urgent: bool = False) -> None:
+        """Start as any other body unless told otherwise."""
+        self.is_urgent = is_urgent
+
+
 class _Part(NamedTuple):
+    waits_for_urgent: bool
     left: int
     order: int
     size: int
     released: asyncio.Future[None]
+    urgency: Urgency
 
 
 class Pacer:
     """Own the pace at which parts of large bodies leave this VM; the one with least left goes next.
 
     Least left first lets most bodies arrive sooner than turns would: of two that would both be
-    late, one is in time. What waits to leave is counted in bytes by those who hold it, for the
-    gate to judge by.
+    late, one is in time. A larger one may wait for as long as smaller ones come, so that a body
+    that must arrive by some moment is made urgent. What waits to leave is counted in bytes by those
+    who hold it, for the gate to judge by.
     """
 
     def __init__(self, bandwidth: float = 0.0) -> None:
@@ -90,17 +101,26 @@
         size = self.part_bytes
         return [body[start : start + size] for start in range(0, len(body), size)]
 
-    async def leave(self, size: int, left: int) -> None:
+    async def leave(self, size: int, left: int, urgency: Urgency | None = None) -> None:
         """Wait until a part of this many bytes may leave, of a body with so many bytes left."""
         if self.rate <= 0:
             return
         loop = asyncio.get_running_loop()
         self._order += 1
-        part = _Part(left, self._order, size, loop.create_future())
+        urgency = urgency or Urgency()
+        released = loop.create_future()
+        part = _Part(not urgency.is_urgent, left, self._order, size, released, urgency)
         heapq.heappush(self._waiting, part)
         self._release()
         await part.released
 
+    def reorder(self) -> None:
+        """Take up what has become urgent among the parts that wait."""
+        self._waiting = [
+            part._replace(waits_for_urgent=not part.urgency.is_urgent) for part in self._waiting
+        ]
+        heapq.heapify(self._waiting)
+
     def _release(self) -> None:
         """Let parts leave for which the link has room, and come back for the others."""
         loop = asyncio.get_running_loop()
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -95,10 +95,11 @@
 
 
 class Credit(NamedTuple):
-    """Let the other side send more of a body (bytes)."""
+    """Let the other side send more of a body (bytes); an urgent one goes before others."""
 
     attempt: int
     size: int
+    urgent: bool = False
 
 
 class Cancel(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -20,6 +20,7 @@
 from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.gate_attempt import (
     GateAttempt,
+    hurry,
     log_end,
     log_refused,
     request_of,
@@ -184,6 +185,8 @@
         if isinstance(frame, frames.Body):
             attempt.bodies.put(frame)
         elif isinstance(frame, frames.Credit):
+            if frame.urgent:
+                hurry(attempt)
             if attempt.outgoing is not None:
                 attempt.outgoing.window.add(frame.size)
         else:
--- a/hornbeamgw/daemon/gate_attempt.py
+++ b/hornbeamgw/daemon/gate_attempt.py
@@ -12,7 +12,7 @@
 from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.verdict import Failure, Verdict
 from hornbeamgw.daemon import frames
-from hornbeamgw.daemon.flow import Mailbox
+from hornbeamgw.daemon.flow import Mailbox, Urgency
 from hornbeamgw.daemon.http1 import HttpConnection
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.outgoing import Outgoing
@@ -32,6 +32,7 @@
         self.bodies: Mailbox[frames.Body] = Mailbox()
         self.task: asyncio.Task[Failure | None] | None = None
         self.outgoing: Outgoing | None = None
+        self.urgency = Urgency()
         self.limit: asyncio.Timeout | None = None
         self.ended_by: Failure | None = None
         self.deadline = 0.0
@@ -48,6 +49,13 @@
         return self._progress if self.outgoing is None else self.outgoing.progress
 
 
+def hurry(attempt: GateAttempt) -> None:
+    """Send the answer of an attempt, or what is left of it, before others."""
+    attempt.urgency.is_urgent = True
+    if attempt.outgoing is not None:
+        attempt.outgoing.reorder()
+
+
 def request_of(
     asked: frames.Call | frames.OutlookRequest,
     attempt: AttemptId,
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -297,7 +297,7 @@
         """Run until told to stop, then drain; return the exit code."""
         await self._stop.wait()
         log.info("daemon stops", extra={"grace": self.settings.calls_leave_after})
-        self.calls.draining = True
+        self.calls.stop()
         if self.settings.calls_leave_after:
             wait = asyncio.create_task(self._cut.wait())
             await asyncio.wait([wait], timeout=self.settings.calls_leave_after)
--- a/hornbeamgw/daemon/outgoing.py
+++ b/hornbeamgw/daemon/outgoing.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from hornbeamgw.daemon import frames
-from hornbeamgw.daemon.flow import Mailbox, Pacer, Window
+from hornbeamgw.daemon.flow import Mailbox, Pacer, Urgency, Window
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.progress import Progress, WaitsFor
 
@@ -28,7 +28,13 @@
     """Own the rest of one answer until it is sent."""
 
     def __init__(
-        self, link: Link, attempt: int, pacer: Pacer, limit: float, on_stalled: Callable[[], None]
+        self,
+        link: Link,
+        attempt: int,
+        pacer: Pacer,
+        limit: float,
+        on_stalled: Callable[[], None],
+        urgency: Urgency,
     ) -> None:
         """Take where it goes, at which pace, and until when (loop time, s) it may take."""
         self.window = Window(pacer.window_bytes)
@@ -36,6 +42,7 @@
         self._link = link
         self._attempt = attempt
         self._pacer = pacer
+        self._urgency = urgency
         self._on_stalled = on_stalled
         self._chunks: Mailbox[_Chunk] = Mailbox()
         self._room = Window(BUFFER_BYTES)
@@ -53,6 +60,10 @@
         """Wait until more may be read from the server."""
         await self._room.take(0)
 
+    def reorder(self) -> None:
+        """Take up that the answer has become urgent while a part of it waits."""
+        self._pacer.reorder()
+
     def stop(self) -> None:
         """Send no more."""
         self.task.cancel()
@@ -76,7 +87,7 @@
                 self.progress.wait(WaitsFor.OTHER_DAEMON, loop.time())
                 await self.window.take(len(part))
                 self.progress.wait(WaitsFor.LINK, loop.time())
-                await self._pacer.leave(len(part), self._pending)
+                await self._pacer.leave(len(part), self._pending, self._urgency)
                 self._link.send(frames.Body(self._attempt, part, False))
                 self._room.add(len(part))
                 self.progress.passed_on += len(part)
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -188,5 +188,7 @@
     def _open_outgoing(self, attempt: GateAttempt, limit: float) -> Outgoing:
         link, number = attempt.link, attempt.call.attempt
         pacer = self._pacer if link.peer != link.hello else Pacer()
-        attempt.outgoing = Outgoing(link, number, pacer, limit, lambda: self._on_stalled(attempt))
+        attempt.outgoing = Outgoing(
+            link, number, pacer, limit, lambda: self._on_stalled(attempt), attempt.urgency
+        )
         return attempt.outgoing
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -113,6 +113,7 @@
 struct Credit {
   attempt @0 :UInt64;
   bytes @1 :UInt32;
+  urgent @2 :Bool;
 }
 
 struct Question {
