Take on nothing that could outlast a daemon that stops

Cause: a daemon that stops took requests like any other until its limit of 5.2 s ended, fixed in the deploy template though a deployment tells how long it leaves a process (6 s there). Why it works: the end is planned at the signal, a quarter of a second before whoever sent it ends the process; after callers had their time to leave, a request is begun only if its deadline comes before that end or, in the first half, if it is expected to take a third of what is left. Others are told at once, truthfully, that they did not run. Ruled out: closing callers' connections at that moment (a request that could be answered would be lost to its caller).

--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -14,6 +14,15 @@
       | bounds.retry_slack        | budget_slack  |
       | bounds.retry_budget_ratio | budget_ratio  |
       | bounds.budget_window_s    | budget_window |
+      | bounds.grace_s            | calls_grace   |
+
+  Scenario: A deployment that tells how long a process has to end bounds a stop by that alone
+    When the deploy template is rendered with "bounds.grace_s" as 4.5
+    Then a stop ends 4.25 s after the signal
+
+  Scenario: A deployment that doesn't tell keeps the limit of before
+    When the deploy template is rendered without "bounds.grace_s"
+    Then a stop ends 5.2 s after the signal
 
   Scenario: A field that nobody knows yet is passed over
     When the deploy template is rendered with "bounds.new_s" as 7
--- a/features/steps/deployment.py
+++ b/features/steps/deployment.py
@@ -10,6 +10,7 @@
 import msgspec
 from behave import then, when
 
+from hornbeamgw.core import stopping
 from hornbeamgw.core.options import Settings, parse_settings
 
 TEMPLATE = Path("deploy/daemon.yaml.tmpl")
@@ -25,7 +26,12 @@
         "control": "10.1.0.8:8306",
     },
     "limits": {"bandwidth_mbps": 50.0},
-    "bounds": {"retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_slack": 430},
+    "bounds": {
+        "retry_budget_ratio": 0.2,
+        "budget_window_s": 10,
+        "retry_slack": 430,
+        "grace_s": 6,
+    },
     "platform": {"address": "10.200.1.7:8309"},
 }
 # Each figure that the template takes over, and the setting that it becomes.
@@ -34,6 +40,7 @@
     "bounds.retry_budget_ratio": "budget_ratio",
     "bounds.budget_window_s": "budget_window",
     "bounds.retry_slack": "budget_slack",
+    "bounds.grace_s": "calls_grace",
 }
 SECTION = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
@@ -108,6 +115,16 @@
     assert getattr(context.settings, key) == Settings._field_defaults[key], context.settings
 
 
+@then("a stop ends {seconds:g} s after the signal")
+def stop_ends(context, seconds):
+    settings = context.settings
+    assert settings is not None, context.problems
+    stop = stopping.plan(
+        0.0, settings.calls_leave_after, settings.calls_drain_limit, settings.calls_grace
+    )
+    assert round(stop.ends_at, 3) == seconds, stop
+
+
 @then('a problem names the key "{key}" and the value {value:d}')
 def problem_named(context, key, value):
     assert [(p.key, p.given) for p in context.problems] == [(key, value)], context.problems
--- a/features/steps/stopping.py
+++ b/features/steps/stopping.py
@@ -9,8 +9,10 @@
 from behave import given, then, when
 from calls import BODIES, route
 
+from hornbeamgw.core import stopping
 from hornbeamgw.core.options import split_address
-from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient
+from hornbeamgw.daemon import heads
+from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, header
 from hornbeamgw.daemon.main import EXIT_OK
 from hornbeamgw.testing.local import LocalFleet, edit_from_bodies, wait_for
 
@@ -220,3 +222,94 @@
 @then("nothing was left unsent when the daemon ended")
 def all_sent(context):
     assert (context.code, context.unsent) == (EXIT_OK, 0), (context.code, context.unsent)
+
+
+@given("a daemon with a server beside it, and another server that runs a call for {work:d} seconds")
+def long_call(context, work):
+    start(context, [("roster", stopping_within(10.0)), ("packs", {})])
+    target = f"/rosters?work_ms={work * 1000}"
+
+    async def begin():
+        asking = asyncio.create_task(ask(context, context.daemons[1], target, "long"))
+        await wait_for(lambda: context.fleet.backends[0].running)
+        context.load = [asking]
+
+    context.closers.append(lambda: rest(context))
+    context.runner.run(begin())
+
+
+async def ask_with_deadline(context, daemon, seconds):
+    client = HttpClient(context.fleet.callers(daemon), LIMIT_S)
+    headers = [(b"host", b"test.example"), (heads.DEADLINE_MS, b"%d" % round(seconds * 1000))]
+    try:
+        return await client.request("GET", "/packs", headers)
+    finally:
+        client.close()
+
+
+@when("the daemon is told to stop, and a second later callers ask it")
+def asked_late(context):
+    async def run():
+        daemon = context.daemons[0]
+        daemon.on_signal()
+        running = asyncio.create_task(daemon.run())
+        await asyncio.sleep(1.0)
+        asked = [ask_with_deadline(context, daemon, seconds) for seconds in (20.0, 0.5)]
+        began = asyncio.get_running_loop().time()
+        context.answers = await asyncio.gather(*asked)
+        context.took = asyncio.get_running_loop().time() - began
+        context.code = await running
+
+    # Nothing is known yet of how long such calls take, so the route's objective tells.
+    context.runner.run(run())
+
+
+@then('a call with a deadline of 20 seconds is refused as "{verdict}" at once')
+def refused_late(context, verdict):
+    answer = context.answers[0]
+    assert answer.status == 503, answer
+    assert header(answer.headers, heads.VERDICT) == verdict.encode(), answer
+    assert context.took < 0.5, context.took
+
+
+@then("a call with a deadline of 0.5 seconds is answered")
+def answered_late(context):
+    assert context.answers[1].status == 200, context.answers[1]
+    assert context.code == EXIT_OK, context.code
+
+
+@then("both connections are told to close")
+def both_close(context):
+    told = [header(answer.headers, b"connection") for answer in context.answers]
+    assert told == [b"close", b"close"], told
+
+
+@given("a stop that leaves after {leave:g} s and ends by a grace of {grace:g} s")
+def stop_by_grace(context, leave, grace):
+    context.stop = stopping.plan(0.0, leave, 30.0, grace)
+
+
+@when(
+    "{after:g} s after the signal a call comes with {left:g} s left"
+    " that is expected to take {expected:g} s"
+)
+def call_comes(context, after, left, expected):
+    context.taken = stopping.may_begin(context.stop, after + left, expected, after)
+
+
+@then('that call is "{taken}"')
+def is_taken(context, taken):
+    assert context.taken == {"taken": True, "refused": False}[taken]
+
+
+@given(
+    "a stop that leaves after {leave:g} s, drains for {drain:g} s, and has a grace of {grace:g} s"
+)
+def stop_planned(context, leave, drain, grace):
+    context.stop = stopping.plan(0.0, leave, drain, grace)
+
+
+@then("it leaves after {leaves:g} s and ends after {ends:g} s")
+def planned(context, leaves, ends):
+    found = round(context.stop.leaves_at, 3), round(context.stop.ends_at, 3)
+    assert found == (leaves, ends), context.stop
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -25,3 +25,39 @@
     When the daemon is told to stop, and a caller asks for 60 KB and reads nothing for 1 second
     Then that caller gets the whole answer
     And nothing was left unsent when the daemon ended
+
+  # Guards against work that is taken on long after the signal and given up as the daemon ends.
+  Scenario: A daemon that is about to end refuses what could outlast it, and takes what can't
+    Given a daemon with a server beside it, and another server that runs a call for 3 seconds
+    When the daemon is told to stop, and a second later callers ask it
+    Then a call with a deadline of 20 seconds is refused as "not_run" at once
+    And a call with a deadline of 0.5 seconds is answered
+    And both connections are told to close
+
+  Scenario Outline: A call is taken on by a daemon that stops where it surely ends before
+    Given a stop that leaves after 1.7 s and ends by a grace of 6 s
+    When <after> s after the signal a call comes with <left> s left that is expected to take <expected> s
+    Then that call is "<taken>"
+
+    Examples:
+      | after | left | expected | taken   |
+      | 0.1   | 10   | 2.0      | taken   |
+      | 1.8   | 3.8  | 2.0      | taken   |
+      | 1.8   | 10   | 0.5      | taken   |
+      | 1.8   | 10   | 2.0      | refused |
+      | 3.5   | 2.0  | 0.5      | taken   |
+      | 3.5   | 3.0  | 0.1      | refused |
+      | 5.0   | 0.5  | 0.1      | taken   |
+      | 5.0   | 1.0  | 0.1      | refused |
+
+  Scenario Outline: A stop ends before whoever sent the signal ends the process
+    Given a stop that leaves after <leave> s, drains for <drain> s, and has a grace of <grace> s
+    Then it leaves after <leaves> s and ends after <ends> s
+
+    Examples:
+      | leave | drain | grace | leaves | ends |
+      | 0     | 30    | 0     | 0      | 30   |
+      | 1.7   | 30    | 6     | 1.7    | 5.75 |
+      | 1.7   | 3.5   | 6     | 1.7    | 5.2  |
+      | 1.7   | 30    | 3     | 1.0    | 2.75 |
+      | 1.7   | 30    | 0.3   | 0.1    | 0.15 |
--- a/hornbeamgw/core/options.py
+++ b/hornbeamgw/core/options.py
@@ -87,6 +87,7 @@
     idle_timeout: NotRequired[Duration]
     drain_limit: NotRequired[Duration]
     leave_after: NotRequired[Duration]
+    grace: NotRequired[Duration]  # whoever sends SIGTERM ends the process after so long
 
 
 class SettingsFile(TypedDict):
@@ -160,6 +161,7 @@
     calls_idle_timeout: float = 60.0
     calls_drain_limit: float = 30.0
     calls_leave_after: float = 0.0
+    calls_grace: float = 0.0
     spreading: str = "tree"
     statsd: str = ""
     log_level: str = "INFO"
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -10,7 +10,16 @@
 
 import h11
 
-from hornbeamgw.core import balancing, exposure, placement, retry_budget, retrying, returns, split
+from hornbeamgw.core import (
+    balancing,
+    exposure,
+    placement,
+    retry_budget,
+    retrying,
+    returns,
+    split,
+    stopping,
+)
 from hornbeamgw.core.balancing import Candidate
 from hornbeamgw.core.exposure import ExposureState
 from hornbeamgw.core.retry_budget import BudgetState
@@ -62,6 +71,7 @@
 GATE_MARGIN_MAX_S = 0.02
 NOT_READY_RETRY_MS = 1000
 NO_ENDPOINT_RETRY_MS = 200
+STOPPING_RETRY_MS = 20
 MAX_RETRY_BUDGET = 10
 # A refusal by a daemon beside a backend server costs nothing there, so others may be asked;
 # three ask every server of a service of today's sizes that is worth asking.
@@ -106,6 +116,7 @@
         self.counts: Counter[str] = Counter()
         self.histograms = Histograms()
         self.draining = False
+        self._stop: stopping.Plan | None = None
         self._under_way: set[Call] = set()
         self._view = view
         self._links = links
@@ -126,6 +137,7 @@
             retry_budget.note_request(self._budget, found.service, started, priority)
             share = self._repeat_share()
             retry_budget.note_inner_repeat(self._budget, found.service, share, started)
+            found = self._refused_by_stop(found, started) or found
         if isinstance(found, Failure):
             self.counts[f"failed.{found.reason}"] += 1
             log_refused(call_id, found, view.snapshot.version)
@@ -154,13 +166,24 @@
             self.counts[f"failed.{failure.reason}"] += 1
             self._fail(connection, failure, call_id)
 
-    def stop(self) -> None:
+    def stop(self, plan: stopping.Plan) -> None:
         """Close each connection after its answer, and ask for answers to be sent first."""
         self.draining = True
+        self._stop = plan
         for call in self._under_way:
             if call.current is not None:
                 _hurry(call.current)
 
+    def _refused_by_stop(self, call: Call, now: float) -> Failure | None:
+        """Refuse a call that could outlast this daemon; another one may be asked at once."""
+        if self._stop is None:
+            return None
+        traits = self._servers.traits_of(call)
+        expected = traits.service + self._pacer.time_for(traits.size)
+        if stopping.may_begin(self._stop, call.deadline, expected, now):
+            return None
+        return not_run(Reason.DRAINING, "this daemon stops", STOPPING_RETRY_MS)
+
     def unfinished(self, now: float) -> list[Unfinished]:
         """Return the calls of callers that are under way."""
         return [unfinished(call.call_id, call.progress, now) for call in self._under_way]
--- a/hornbeamgw/daemon/flow.py
+++ b/hornbeamgw/daemon/flow.py
@@ -101,6 +101,10 @@
         size = self.part_bytes
         return [body[start : start + size] for start in range(0, len(body), size)]
 
+    def time_for(self, size: float) -> float:
+        """Return how long (s) a body of so many bytes takes to leave where nothing else does."""
+        return size / self.rate if self.rate > 0 else 0.0
+
     async def leave(self, size: int, left: int, urgency: Urgency | None = None) -> None:
         """Wait until a part of this many bytes may leave, of a body with so many bytes left."""
         if self.rate <= 0:
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from hornbeamgw.backends import Platform, factories_by_name
-from hornbeamgw.core import balancing, exposure, membership, retry_budget, versions
+from hornbeamgw.core import balancing, exposure, membership, retry_budget, stopping, versions
 from hornbeamgw.core.dialect import Dialect, dialects_by_name
 from hornbeamgw.core.exposure import ExposureBound
 from hornbeamgw.core.finding import Finding
@@ -297,16 +297,24 @@
     async def run(self) -> int:
         """Run until told to stop, then drain; return the exit code."""
         await self._stop.wait()
-        log.info("daemon stops", extra={"grace": self.settings.calls_leave_after})
-        self.calls.stop()
-        if self.settings.calls_leave_after:
-            wait = asyncio.create_task(self._cut.wait())
-            await asyncio.wait([wait], timeout=self.settings.calls_leave_after)
+        loop, settings = asyncio.get_running_loop(), self.settings
+        stop = stopping.plan(
+            loop.time(),
+            settings.calls_leave_after,
+            settings.calls_drain_limit,
+            settings.calls_grace,
+        )
+        leave_after = stop.leaves_at - stop.began_at
+        told = {"leave_after": leave_after, "end_after": stop.ends_at - stop.began_at}
+        log.info("daemon stops", extra=told)
+        self.calls.stop(stop)
+        cut = asyncio.create_task(self._cut.wait())
+        if leave_after:
+            await asyncio.wait([cut], timeout=leave_after)
         self.gates.stop()
         drained = asyncio.create_task(self._wait_until_idle())
-        cut = asyncio.create_task(self._cut.wait())
-        limit = self.settings.calls_drain_limit
-        await asyncio.wait([drained, cut], timeout=limit, return_when=asyncio.FIRST_COMPLETED)
+        left = stop.ends_at - loop.time()
+        await asyncio.wait([drained, cut], timeout=left, return_when=asyncio.FIRST_COMPLETED)
         cut_off = [] if drained.done() else self._cut_off()
         self.control.leave()
         if cut_off:
