Soak planned work alone, under callers that keep their connections

Cause: users saw a daemon that was stopped by plan close a caller's connection in the middle of an answer. The fleet soak harms from outside, excuses much by it, has no narrow link and no SIGKILL after 6 s, so it could not show that.

What a caller was told is judged against when servers were at work, which the stand-in server now reports.

The change of a limit by an operator is now a function that both soaks share; Child.stop() takes the time until SIGKILL.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 MINUTES ?= 5
 SEEDS ?= 1-5
 
-.PHONY: setup demo test lint bench soak soak-fleet spec mutants clean
+.PHONY: setup demo test lint bench soak soak-fleet soak-planned spec mutants clean
 
 setup: $(READY)
 
@@ -41,6 +41,9 @@
 soak-fleet: setup
 	$(PYTHON) -m properties.fleet_soak $(SEEDS)
 
+soak-planned: setup
+	$(PYTHON) -m properties.planned_soak $(SEEDS)
+
 spec: setup
 	command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
 	$(PYTHON) spec/check.py
--- a/hornbeamgw/testing/backend.py
+++ b/hornbeamgw/testing/backend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections import Counter
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
@@ -59,6 +60,7 @@
         self.runs_by_id: Counter[str] = Counter()
         self.finished_by_id: Counter[str] = Counter()
         self.broken_ids: list[str] = []
+        self.worked_by_id: dict[str, list[tuple[float, float]]] = {}
         self.after_drain: list[str] = []
         self.running = 0
         self.peak = 0
@@ -155,14 +157,18 @@
     async def _work(
         self, connection: HttpConnection, query: dict[str, str], request_id: str
     ) -> None:
-        body = await read_body(connection, BODY_LIMIT)
-        self.runs_by_body[body] += 1
-        if body and body == self.options.falls_under:
-            await asyncio.sleep(self.options.falls_after)
-            self.fall()
-        work = float(query.get("work_ms", self.options.work * 1000)) / 1000
-        if work:
-            await asyncio.sleep(work)
+        started = time.monotonic()
+        try:
+            body = await read_body(connection, BODY_LIMIT)
+            self.runs_by_body[body] += 1
+            if body and body == self.options.falls_under:
+                await asyncio.sleep(self.options.falls_after)
+                self.fall()
+            work = float(query.get("work_ms", self.options.work * 1000)) / 1000
+            if work:
+                await asyncio.sleep(work)
+        finally:
+            self.worked_by_id.setdefault(request_id, []).append((started, time.monotonic()))
         if connection.lost:
             raise ConnectionLost
         size = int(query.get("size", "0"))
@@ -179,12 +185,13 @@
         json_response(connection, 200, self.report())
 
     def report(self) -> dict[str, Any]:
-        """Return what ran here, by request id."""
+        """Return what ran here, by request id, and when it was worked on (monotonic s)."""
         return {
             "service": self.options.service,
             "runs": self.runs_by_id,
             "finished": self.finished_by_id,
             "broken": self.broken_ids,
+            "worked": self.worked_by_id,
             "after_drain": self.after_drain,
             "peak": self.peak,
             "running": self.running,
--- a/hornbeamgw/testing/fleet.py
+++ b/hornbeamgw/testing/fleet.py
@@ -55,11 +55,11 @@
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
-    async def stop(self) -> int:
-        """Ask the process to stop and return its exit code."""
+    async def stop(self, limit: float = STOP_TIMEOUT_S) -> int:
+        """Ask the process to stop, kill it after a limit (s), and return its exit code."""
         self.signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(STOP_TIMEOUT_S):
+            async with asyncio.timeout(limit):
                 return await self.process.wait()
         except TimeoutError:
             self.signal(signal.SIGKILL)
--- a/hornbeamgw/testing/load.py
+++ b/hornbeamgw/testing/load.py
@@ -60,11 +60,13 @@
     elapsed: float
 
 
-def _target(kind: Kind) -> str:
+def target_of(kind: Kind) -> str:
+    """Return the target of a request of this kind."""
     return f"{kind.path}?size={kind.size}" if kind.size else kind.path
 
 
-def _is_whole(kind: Kind, request_id: str, response: Response) -> bool:
+def is_whole(kind: Kind, request_id: str, response: Response) -> bool:
+    """Return whether an answer is the backend server's whole answer to this request."""
     if kind.size:
         echoed = header(response.headers, b"x-request-id") == request_id.encode()
         return echoed and len(response.body) == kind.size
@@ -80,11 +82,11 @@
     verdict: Verdict | None
     whole, reason = True, ""
     try:
-        response = await client.request(kind.method, _target(kind), headers, kind.body)
+        response = await client.request(kind.method, target_of(kind), headers, kind.body)
         told = header(response.headers, VERDICT)
         verdict = Verdict(told.decode()) if told else Verdict.ANSWERED
         if verdict is Verdict.ANSWERED:
-            whole = response.status == 200 and _is_whole(kind, request_id, response)
+            whole = response.status == 200 and is_whole(kind, request_id, response)
         else:
             reason = str(msgspec.json.decode(response.body)["reason"])
     except ConnectionRefusedError:
--- a/properties/fleet_soak.py
+++ b/properties/fleet_soak.py
@@ -181,25 +181,7 @@
     async def edit(self) -> int:
         """Change one limit by a daemon drawn; return the version, 0 where none took it."""
         self.edits += 1
-        edit_id = f"soak-{self.edits}"
-        for _ in range(ACCEPT_TRIES):
-            node = self.rng.choice([n for n in self.fleet.nodes if n.daemon.alive])
-            try:
-                async with asyncio.timeout(5.0):
-                    catalogue = await ask(node.admin, "GET", "/catalogue")
-                    key = sorted(k for k in catalogue["items"] if k.startswith("entry/"))[0]
-                    revision, body = catalogue["items"][key]
-                    body["limits"]["queue"] = 20 + self.edits
-                    changes = [Change(key=key, based_on=revision, body=body)]
-                    edit = Edit(edit_id=edit_id, author="soak", changes=changes)
-                    answer = await ask(node.admin, "POST", "/edits", edit)
-            except Exception:  # a harmed daemon may answer anything, or nothing
-                await asyncio.sleep(0.3)
-                continue
-            if "version" in answer:
-                return int(answer["version"])
-            await asyncio.sleep(0.3)
-        return 0
+        return await edit_limit(self.fleet, self.rng, self.edits, lambda keys: keys[0])
 
     # Checks
 
@@ -225,6 +207,30 @@
         return audit(self.load.outcomes, reports), violations
 
 
+async def edit_limit(
+    fleet: Fleet, rng: random.Random, number: int, choose: Callable[[list[str]], str]
+) -> int:
+    """Change the queue of an entry by a daemon drawn; return the version, 0 where none took it."""
+    for _ in range(ACCEPT_TRIES):
+        node = rng.choice([n for n in fleet.nodes if n.daemon.alive])
+        try:
+            async with asyncio.timeout(5.0):
+                catalogue = await ask(node.admin, "GET", "/catalogue")
+                key = choose(sorted(k for k in catalogue["items"] if k.startswith("entry/")))
+                revision, body = catalogue["items"][key]
+                body["limits"]["queue"] = 20 + number
+                changes = [Change(key=key, based_on=revision, body=body)]
+                edit = Edit(edit_id=f"soak-{number}", author="soak", changes=changes)
+                answer = await ask(node.admin, "POST", "/edits", edit)
+        except Exception:  # a harmed daemon may answer anything, or nothing
+            await asyncio.sleep(0.3)
+            continue
+        if "version" in answer:
+            return int(answer["version"])
+        await asyncio.sleep(0.3)
+    return 0
+
+
 async def _version(node: Node) -> dict[str, Any] | None:
     try:
         async with asyncio.timeout(1.0):
