--- a/features/steps/deployment.py
+++ b/features/steps/deployment.py
@@ -4,7 +4,6 @@
 
 import copy
 import random
-import re
 from pathlib import Path
 
 import msgspec
@@ -12,6 +11,7 @@
 
 from hornbeamgw.core import stopping
 from hornbeamgw.core.options import Settings, parse_settings
+from hornbeamgw.testing.template import render
 
 TEMPLATE = Path("deploy/daemon.yaml.tmpl")
 FIELDS = {
@@ -42,36 +42,6 @@
     "bounds.retry_slack": "budget_slack",
     "bounds.grace_s": "calls_grace",
 }
-SECTION = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
-PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
-
-
-def value_at(fields, path):
-    """Return the value at a dotted path, or None where there is none."""
-    for name in path.split("."):
-        if isinstance(fields, list):
-            fields = fields[int(name)] if int(name) < len(fields) else None
-        else:
-            fields = fields.get(name) if isinstance(fields, dict) else None
-    return fields
-
-
-def render(template, fields):
-    """Return a template as the platform fills it in, as far as ours uses its language."""
-
-    def section(found):
-        value = value_at(fields, found[2])
-        is_there = value is not None and value is not False
-        return render(found[3], fields) if is_there == (found[1] == "#") else ""
-
-    def placeholder(found):
-        value = value_at(fields, found[1])
-        if value is None:
-            return ""
-        is_json = found[2] or not isinstance(value, str)
-        return msgspec.json.encode(value).decode() if is_json else value
-
-    return PLACEHOLDER.sub(placeholder, SECTION.sub(section, template))
 
 
 def with_value(path, value):
--- a/properties/planned_soak.py
+++ b/properties/planned_soak.py
@@ -22,6 +22,7 @@
 from hornbeamgw.core.verdict import Verdict
 from hornbeamgw.testing.demo import example_edit
 from hornbeamgw.testing.fleet import Fleet, Node, Place, ask
+from hornbeamgw.testing.template import render
 from properties.fleet_soak import CONVERGENCE_S, edit_limit, seeds_of
 from properties.planned_load import MEAN_LARGE_BYTES, PlannedLoad, Told
 
@@ -94,7 +95,7 @@
 
 def _settings() -> dict[str, Any]:
     """Return the settings that the users' daemons stop and carry calls by."""
-    text = TEMPLATE.read_text(encoding="utf-8")
+    text = render(TEMPLATE.read_text(encoding="utf-8"), {"bounds": {"grace_s": GRACE_S}})
     found: dict[str, Any] = {"bandwidth": MEGABITS}
     for block in BLOCKS:
         match = re.search(rf'"{block}": (\{{[^{{}}]*\}})', text)
