Take on no more answers than the link of a daemon that stops can carry

What callers saw: answers cut midway where two daemons stop at the same time. Cause: the urgency of answers was told to the other daemon alone, and what is taken on after the signal was not judged by what the link still has to carry. Why it works: answers to callers are urgent too, and a call is taken on only where three times what its answer is expected to take, with all that waits for callers and daemons, ends before the daemon does; others are told at once that they did not run.

--- a/features/steps/stopping.py
+++ b/features/steps/stopping.py
@@ -74,6 +74,18 @@
     start(context, [("roster", {"bandwidth": wide}), ("packs", limits), ("", narrow)])
 
 
+@given(
+    "a server beside a daemon with a link of {width:g} Mbit/s, another behind {wide:g},"
+    " and one more daemon"
+)
+def narrow_both(context, width, wide):
+    limits = {"calls_leave_after": 1.0, "calls_drain_limit": 2.0}
+    start(
+        context,
+        [("roster", {"bandwidth": width, **limits}), ("packs", {"bandwidth": wide}), ("", {})],
+    )
+
+
 async def ask(context, daemon, target, call_id):
     client = HttpClient(context.fleet.callers(daemon), LIMIT_S)
     headers = [(b"host", b"test.example"), (b"x-request-id", call_id.encode())]
@@ -109,6 +121,7 @@
     keep_asking(context, context.daemons[1])
 
 
+@given("callers of the last one keep asking the first server for answers of 40 KB, eight at a time")
 @given("callers of that one keep asking the first server for answers of 40 KB, eight at a time")
 def busy_caller(context):
     keep_asking(context, context.daemons[2])
@@ -141,6 +154,14 @@
     ask_and_stop(context, daemon, f"/packs?size={LARGE_BYTES}", context.daemons[1])
 
 
+@when(
+    "a caller of the first daemon asks the other server for 300 KB, and that daemon is told to stop"
+)
+def stops_between(context):
+    daemon = context.daemons[0]
+    ask_and_stop(context, daemon, f"/packs?size={LARGE_BYTES}", daemon)
+
+
 @then("that caller gets the whole answer once the others rest")
 def whole_later(context):
     context.runner.run(rest(context))
@@ -297,6 +318,13 @@
     context.taken = stopping.may_begin(context.stop, after + left, expected, after)
 
 
+@when(
+    "{after:g} s after the signal a call comes whose answer is expected to leave in {transfer:g} s"
+)
+def answer_leaves(context, after, transfer):
+    context.taken = stopping.may_send(context.stop, transfer, after)
+
+
 @then('that call is "{taken}"')
 def is_taken(context, taken):
     assert context.taken == {"taken": True, "refused": False}[taken]
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -19,6 +19,14 @@
     Then that caller gets the whole answer once the others rest
     And the daemon that stopped has cut nothing off
 
+  # Guards against an answer to a caller that waits behind those of the server beside its daemon.
+  Scenario: A daemon that stops passes a large answer on while its own server's answers keep its link busy
+    Given a server beside a daemon with a link of 2 Mbit/s, another behind 20, and one more daemon
+    And callers of the last one keep asking the first server for answers of 40 KB, eight at a time
+    When a caller of the first daemon asks the other server for 300 KB, and that daemon is told to stop
+    Then that caller gets the whole answer
+    And the daemon that stopped has cut nothing off
+
   # Guards against the end of an answer lost with a process that ends before it has left it.
   Scenario: A daemon that stops stays until a caller that reads late has taken the whole answer
     Given a daemon with a server beside it
@@ -50,6 +58,19 @@
       | 5.0   | 0.5  | 0.1      | taken   |
       | 5.0   | 1.0  | 0.1      | refused |
 
+  Scenario Outline: A daemon that stops takes on no more answers than its link can carry
+    Given a stop that leaves after 1.7 s and ends by a grace of 6 s
+    When <after> s after the signal a call comes whose answer is expected to leave in <transfer> s
+    Then that call is "<taken>"
+
+    Examples:
+      | after | transfer | taken   |
+      | 0.1   | 0.0      | taken   |
+      | 0.1   | 1.8      | taken   |
+      | 0.1   | 2.0      | refused |
+      | 1.6   | 1.3      | taken   |
+      | 1.6   | 1.5      | refused |
+
   Scenario Outline: A stop ends before whoever sent the signal ends the process
     Given a stop that leaves after <leave> s, drains for <drain> s, and has a grace of <grace> s
     Then it leaves after <leaves> s and ends after <ends> s
--- a/hornbeamgw/core/stopping.py
+++ b/hornbeamgw/core/stopping.py
@@ -12,9 +12,9 @@
 END_MARGIN_S = 0.25
 # Callers learn of a stop in this part of the time at the latest.
 LEAVE_PART = 1 / 3
-# A request that could outlast the stop is begun in this part of the time only, and only where it
-# is expected to take a fraction of what is left.
+# A request that could outlast the stop is begun in this part of the time only.
 GUESS_PART = 0.5
+# What is taken on by a guess of its length has so many times as long until the end.
 GUESS_FACTOR = 3
 
 
@@ -36,6 +36,11 @@
     return Plan(now, leaves_at, ends_at)
 
 
+def may_send(stop: Plan, transfer: float, now: float) -> bool:
+    """Return whether an answer expected to leave in so long (s), with what waits, is taken on."""
+    return now + GUESS_FACTOR * transfer <= stop.ends_at
+
+
 def may_begin(stop: Plan, deadline: float, expected: float, now: float) -> bool:
     """Return whether a request with a deadline and an expected duration (s) is still taken on."""
     if now < stop.leaves_at or deadline <= stop.ends_at:
--- a/hornbeamgw/core/transfers.py
+++ b/hornbeamgw/core/transfers.py
@@ -32,7 +32,11 @@
     Answers take turns part by part: one of a part or less waits for one part of each other at
     most, which is little, and a large one for all that is pending (bytes).
     """
-    size = state.sizes_by_route.get(route, 0.0)
+    return time_for(state.sizes_by_route.get(route, 0.0), pending, rate)
+
+
+def time_for(size: float, pending: int, rate: float) -> float:
+    """Return how long (s) an answer of an expected size (bytes) takes."""
     if rate <= 0 or size <= PART_LEAST_BYTES:
         return 0.0
     return (size + pending) / rate
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -20,6 +20,7 @@
 from hornbeamgw.core.verdict import Failure, Verdict
 from hornbeamgw.daemon import frames, heads
 from hornbeamgw.daemon.attempts import Attempt
+from hornbeamgw.daemon.flow import Urgency
 from hornbeamgw.daemon.http1 import Headers, end_to_end, header
 from hornbeamgw.daemon.http_server import BadRequest
 from hornbeamgw.daemon.progress import Progress
@@ -105,6 +106,7 @@
         self.status = 0
         self.fingerprint = UNKNOWN
         self.progress = Progress(0.0)
+        self.urgency = Urgency()
 
 
 def objective_left_ms(call: Call, now: float) -> int:
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -19,6 +19,7 @@
     returns,
     split,
     stopping,
+    transfers,
 )
 from hornbeamgw.core.balancing import Candidate
 from hornbeamgw.core.exposure import ExposureState
@@ -147,6 +148,7 @@
         await take_body(connection, found, self._replay_limit)
         found.fingerprint = fingerprint_of_call(found, self._dialect)
         found.progress = Progress(started)
+        found.urgency.is_urgent = self.draining
         timer = loop.call_at(found.deadline, self._expire, found)
         connection.on_lost = lambda: self._leave(found)
         self._under_way.add(found)
@@ -171,16 +173,20 @@
         self.draining = True
         self._stop = plan
         for call in self._under_way:
+            call.urgency.is_urgent = True
             if call.current is not None:
                 _hurry(call.current)
+        self._pacer.reorder()
 
     def _refused_by_stop(self, call: Call, now: float) -> Failure | None:
         """Refuse a call that could outlast this daemon; another one may be asked at once."""
         if self._stop is None:
             return None
-        traits = self._servers.traits_of(call)
-        expected = traits.service + self._pacer.time_for(traits.size)
-        if stopping.may_begin(self._stop, call.deadline, expected, now):
+        traits, pacer = self._servers.traits_of(call), self._pacer
+        pending = pacer.pending + pacer.pending_for_callers
+        transfer = transfers.time_for(traits.size, pending, pacer.rate)
+        may_begin = stopping.may_begin(self._stop, call.deadline, traits.service + transfer, now)
+        if may_begin and stopping.may_send(self._stop, transfer, now):
             return None
         return not_run(Reason.DRAINING, "this daemon stops", STOPPING_RETRY_MS)
 
--- a/hornbeamgw/daemon/flow.py
+++ b/hornbeamgw/daemon/flow.py
@@ -81,8 +81,8 @@
 
     Least left first lets most bodies arrive sooner than turns would: of two that would both be
     late, one is in time. A larger one may wait for as long as smaller ones come, so that a body
-    that must arrive by some moment is made urgent. What waits to leave is counted in bytes by those
-    who hold it, for the gate to judge by.
+    that must arrive by some moment is made urgent. What waits to leave for other daemons and for
+    callers is counted in bytes by those who hold it, for those who take on more to judge by.
     """
 
     def __init__(self, bandwidth: float = 0.0) -> None:
@@ -92,6 +92,7 @@
         self._order = 0
         self._timer: asyncio.TimerHandle | None = None
         self.pending = 0
+        self.pending_for_callers = 0
         self.rate = self._state.rate
         self.part_bytes = pacing.part_bytes(self._state)
         self.window_bytes = pacing.window_bytes(self._state)
@@ -101,10 +102,6 @@
         size = self.part_bytes
         return [body[start : start + size] for start in range(0, len(body), size)]
 
-    def time_for(self, size: float) -> float:
-        """Return how long (s) a body of so many bytes takes to leave where nothing else does."""
-        return size / self.rate if self.rate > 0 else 0.0
-
     async def leave(self, size: int, left: int, urgency: Urgency | None = None) -> None:
         """Wait until a part of this many bytes may leave, of a body with so many bytes left."""
         if self.rate <= 0:
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
-from hornbeamgw.core import admission, breaker, tally
+from hornbeamgw.core import admission, breaker, stopping, tally
 from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
 from hornbeamgw.core.dialect import HORNBEAMGW, Dialect
 from hornbeamgw.core.fingerprint import as_text
@@ -79,6 +79,7 @@
         self._on_server_change = on_server_change
         self._attempts: dict[AttemptId, GateAttempt] = {}
         self._stopping = False
+        self.stop_plan: stopping.Plan | None = None
         self._reserved_for: tuple[Snapshot, str] | None = None
 
     def announce(self, announcement: Announcement) -> None:
@@ -243,6 +244,9 @@
             self._send_failure(attempt, failure)
             return
         refusal = self.quarantine.refusal(call.fingerprint) or self._apart(call.fingerprint)
+        if self.stop_plan and not self.exchange.may_send(link, call.route, self.stop_plan):
+            detail = "this daemon would end before its answer has left"
+            refusal = not_run(Reason.DRAINING, detail, RETRY_AFTER_NOT_READY_MS)
         if refusal is not None:
             self.counts[f"refused.{refusal.reason}"] += 1
             self._send_failure(attempt, refusal)
--- a/hornbeamgw/daemon/gates.py
+++ b/hornbeamgw/daemon/gates.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from hornbeamgw.core import stopping
 from hornbeamgw.core.admission import MEMORY_S, AttemptId
 from hornbeamgw.core.membership import FurtherServer, ServerState
 from hornbeamgw.core.options import split_address
@@ -52,6 +53,7 @@
         self._gates_by_number: dict[int, Gate] = {}
         self._unused_at_by_number: dict[int, float] = {}
         self._stopping = False
+        self._stop_plan: stopping.Plan | None = None
         self._unassigned: Gate | None = self._open()
 
     def _open(self) -> Gate:
@@ -89,6 +91,7 @@
         if len(living) >= MOST_SERVERS:
             raise ValueError(f"server {number!r}, expected {MOST_SERVERS} beside a daemon at most")
         gate, self._unassigned = self._unassigned or self._open(), None
+        gate.stop_plan = self._stop_plan
         if self._stopping:
             gate.stop()
         self._gates_by_number[number] = gate
@@ -186,6 +189,12 @@
         if len(self.all) > 1:
             del self._gates_by_number[number]
 
+    def begin_stop(self, plan: stopping.Plan) -> None:
+        """Take on no more than can be answered before the daemon ends."""
+        self._stop_plan = plan
+        for gate in self.all:
+            gate.stop_plan = plan
+
     def stop(self) -> None:
         """Drain for good, as the daemon stops."""
         self._stopping = True
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -308,6 +308,7 @@
         told = {"leave_after": leave_after, "end_after": stop.ends_at - stop.began_at}
         log.info("daemon stops", extra=told)
         self.calls.stop(stop)
+        self.gates.begin_stop(stop)
         cut = asyncio.create_task(self._cut.wait())
         if leave_after:
             await asyncio.wait([cut], timeout=leave_after)
--- a/hornbeamgw/daemon/relay.py
+++ b/hornbeamgw/daemon/relay.py
@@ -11,7 +11,7 @@
 from hornbeamgw.daemon.call import Call
 from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, header, response_of
-from hornbeamgw.daemon.progress import Progress, WaitsFor
+from hornbeamgw.daemon.progress import WaitsFor
 
 # Of an answer without a length, as much as the users' larger ones have, so that it goes after most.
 UNKNOWN_LEFT = 500_000
@@ -54,34 +54,40 @@
     if not reply.end:
         attempt.link.send(frames.Credit(attempt.number, len(reply.body)))
         left = size_of(reply) - len(reply.body)
-        await _rest(connection, attempt, pacer, left, call.progress)
+        await _rest(connection, call, attempt, pacer, left or UNKNOWN_LEFT)
 
 
 async def _rest(
-    connection: HttpConnection, attempt: Attempt, pacer: Pacer, expected: int, progress: Progress
+    connection: HttpConnection, call: Call, attempt: Attempt, pacer: Pacer, left: int
 ) -> None:
-    loop = asyncio.get_running_loop()
-    left = expected or UNKNOWN_LEFT
-    while True:
-        progress.wait(WaitsFor.OTHER_DAEMON, loop.time())
-        event = await attempt.events.get()
-        if isinstance(event, Expired):
-            # What has begun to arrive is of more use to the caller than an end cut off.
-            continue
-        if not isinstance(event, frames.Body):
-            raise ConnectionLost(f"{type(event).__name__} before the end of the answer")
-        if event.data:
-            progress.wait(WaitsFor.LINK, loop.time())
-            await pacer.leave(len(event.data), left)
-            left = max(len(event.data), left - len(event.data))
-            connection.send(h11.Data(data=event.data))
-            progress.wait(WaitsFor.CALLER, loop.time())
-            await connection.drain()
-            progress.passed_on += len(event.data)
-            attempt.link.send(frames.Credit(attempt.number, len(event.data)))
-        if event.end:
-            connection.send(h11.EndOfMessage())
-            return
+    """Carry what comes after the start of an answer, of which so many bytes are expected."""
+    loop, progress = asyncio.get_running_loop(), call.progress
+    pacer.pending_for_callers += left
+    try:
+        while True:
+            progress.wait(WaitsFor.OTHER_DAEMON, loop.time())
+            event = await attempt.events.get()
+            if isinstance(event, Expired):
+                # What has begun to arrive is of more use to the caller than an end cut off.
+                continue
+            if not isinstance(event, frames.Body):
+                raise ConnectionLost(f"{type(event).__name__} before the end of the answer")
+            if event.data:
+                progress.wait(WaitsFor.LINK, loop.time())
+                await pacer.leave(len(event.data), left, call.urgency)
+                after = max(len(event.data), left - len(event.data))
+                pacer.pending_for_callers += after - left
+                left = after
+                connection.send(h11.Data(data=event.data))
+                progress.wait(WaitsFor.CALLER, loop.time())
+                await connection.drain()
+                progress.passed_on += len(event.data)
+                attempt.link.send(frames.Credit(attempt.number, len(event.data)))
+            if event.end:
+                connection.send(h11.EndOfMessage())
+                return
+    finally:
+        pacer.pending_for_callers -= left
 
 
 def size_of(reply: frames.Reply) -> int:
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -11,7 +11,7 @@
 import h11
 import msgspec
 
-from hornbeamgw.core import admission, breaker, transfers
+from hornbeamgw.core import admission, breaker, stopping, transfers
 from hornbeamgw.core.admission import AdmissionState
 from hornbeamgw.core.breaker import BreakerState
 from hornbeamgw.core.dialect import Dialect
@@ -73,6 +73,14 @@
             return 0.0
         return transfers.expected(self._transfers, route, self._pacer.pending, self._pacer.rate)
 
+    def may_send(self, link: Link, route: str, stop: stopping.Plan) -> bool:
+        """Return whether an answer of a route would leave before this daemon ends."""
+        if link.peer == link.hello:
+            return True
+        pending = self._pacer.pending + self._pacer.pending_for_callers
+        transfer = transfers.expected(self._transfers, route, pending, self._pacer.rate)
+        return stopping.may_send(stop, transfer, asyncio.get_running_loop().time())
+
     def load(self) -> tuple[int, int]:
         """Return the free slots, and how long (ms) a newcomer would wait."""
         now = asyncio.get_running_loop().time()
