Format plain log lines without the library's general way

Cause: a line costs a daemon 29 to 33 us, half of it the formatter: it looks for arguments, renames each field by a call and goes through tables that are empty here. Each call, each attempt and each member that changed has a line.

A record without arguments or a traceback is now put together in place; any other goes the library's way. A scenario compares both over each kind of record.

Ruled out: writing (0.4 us), the bound. Making the record (5 us) and the library's handling of it were left alone.

The lines are the same.

--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -18,6 +18,10 @@
     And a warning is logged
     Then the warning is written
 
+  Scenario: A plain line says what the library's formatter would
+    When a line is formatted with each kind of record
+    Then each reads as the library's formatter writes it
+
   Scenario: A call can be followed from its id
     Given daemons that log, and a busy roster server beside the second
     When two calls arrive of which one finds no slot
--- a/features/steps/explaining.py
+++ b/features/steps/explaining.py
@@ -5,15 +5,17 @@
 import asyncio
 import logging
 import os
+import sys
 import tempfile
 import time
 from pathlib import Path
 
 from behave import given, then, when
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from hornbeamgw.core.options import parse_settings
 from hornbeamgw.daemon.http1 import HttpClient
-from hornbeamgw.daemon.logs import DROPPED, BoundedHandler
+from hornbeamgw.daemon.logs import DROPPED, FIELDS, LAYOUT, BoundedHandler, PlainFormatter
 from hornbeamgw.daemon.reload import Reloader
 from hornbeamgw.testing.local import LocalFleet, edit_from_bodies, wait_for
 
@@ -57,6 +59,41 @@
     context.handler.setFormatter(logging.Formatter("%(levelname)s %(message)s"))
 
 
+def fault():
+    try:
+        raise ValueError("seen")
+    except ValueError:
+        return sys.exc_info()
+
+
+def each_kind_of_record():
+    extra = {"member": "10.0.0.7:7400", "slots": 6, "level": "own", "at": "own", "sure": None}
+    kinds = [
+        {"msg": "plain"},
+        {"msg": "100% plain"},
+        {"msg": "with fields", **extra, "_private": 1, "daemon": "another"},
+        {"msg": "of another type", "error": ValueError("x"), "status": logging.Handler},
+        {"msg": "with %s", "args": ("an argument",)},
+        {"msg": {"a": "dict"}},
+        {"msg": 7},
+        {"msg": "with a traceback", "exc_info": fault(), **extra},
+        {"msg": "with a stack", "stack_info": "here"},
+    ]
+    return [logging.makeLogRecord({"name": "test", "levelname": "INFO", **kind}) for kind in kinds]
+
+
+@when("a line is formatted with each kind of record")
+def formatted(context):
+    makers = (PlainFormatter, MsgspecFormatter)
+    formatters = [make(FIELDS, static_fields={"daemon": "x"}, **LAYOUT) for make in makers]
+    context.pairs = [[f.format(record) for f in formatters] for record in each_kind_of_record()]
+
+
+@then("each reads as the library's formatter writes it")
+def same_lines(context):
+    assert all(own == library for own, library in context.pairs), context.pairs
+
+
 @given("a log written to a pipe that nobody reads")
 def pipe(context):
     context.reading, writing = os.pipe()
--- a/hornbeamgw/daemon/logs.py
+++ b/hornbeamgw/daemon/logs.py
@@ -7,10 +7,16 @@
 import stat
 import sys
 import time
+from datetime import UTC, datetime
+from typing import Any
 
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
 FIELDS = "%(levelname)s %(name)s %(message)s"
+LAYOUT: dict[str, Any] = {
+    "timestamp": "at",
+    "rename_fields": {"levelname": "level", "name": "module"},
+}
 # A daemon of the users' heaviest day takes 130 calls and 130 attempts a second, a line each;
 # twice that leaves room for a burst. Lines of 400 bytes make 200 KB a second at most.
 LINES_PER_S = 500.0
@@ -82,6 +88,24 @@
             self.dropped += 1
 
 
+class PlainFormatter(MsgspecFormatter):
+    """Format plain records, and leave those with arguments or a traceback to the library."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record, without its end."""
+        is_traced = record.exc_info or record.exc_text or record.stack_info
+        if is_traced or record.args or not isinstance(record.msg, str):
+            return super().format(record)
+        told: dict[str, Any] = {"level": record.levelname, "module": record.name}
+        told["message"] = record.msg
+        told |= self.static_fields
+        for key, value in record.__dict__.items():
+            if key not in self._skip_fields and not key.startswith("_"):
+                told[key] = value
+        told["at"] = datetime.fromtimestamp(record.created, UTC)
+        return self._encoder.encode(told).decode()
+
+
 def _leave_out_unused() -> None:
     """Spare each record the look-ups for fields that no line shows (a third of what it takes).
 
@@ -97,13 +121,7 @@
     """Write JSON lines from now on, each with these fields."""
     _leave_out_unused()
     handler = BoundedHandler(sys.__stdout__.fileno() if sys.__stdout__ else 1)
-    formatter = MsgspecFormatter(
-        FIELDS,
-        timestamp="at",
-        rename_fields={"levelname": "level", "name": "module"},
-        static_fields=common,
-    )
-    handler.setFormatter(formatter)
+    handler.setFormatter(PlainFormatter(FIELDS, static_fields=common, **LAYOUT))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
