Keep the written form of records that are gossiped, and copy it

Cause: writing a record field by field takes 7 to 12 us, ten of them in each datagram while daemons restart; the same record goes out some eight times, one's own to all of a fleet at once.

A record is written once to a message of its own, which pycapnp copies into each datagram in 1 us. The 64 used last are kept, 1 KB each (0.97 KB measured over 20,000).

Ruled out: setting fields by what was looked up beforehand (0.5 us in place of 0.7); the same for whole views, which go out a few times for each start and would write each record twice.

3,000 datagrams with every kind of record read back as they were, in both; where lists are in a record its parts lie in another order, 0.1% longer over all.

--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
@@ -21,6 +22,9 @@
 
 MAX_FRAME = 16 * 1024 * 1024
 LENGTH_BYTES = 4
+# A change is passed on some eight times, to one member after the other. Restarts that follow one
+# another leave a few dozen such changes at a time; a record takes 1 KB.
+KEPT_RECORDS = 64
 
 # Whether a record of the member at an address, in this order, would change anything.
 IsNews = Callable[[str, tuple[int, int, int]], bool]
@@ -179,6 +183,14 @@
         _write_member(out[index], member)
 
 
+@functools.lru_cache(maxsize=KEPT_RECORDS)
+def written_member(member: Member) -> Any:
+    """Return a record as a message, from which it is copied into others."""
+    out = schema.Member.new_message()
+    _write_member(out, member)
+    return schema.Member.from_bytes_packed(out.to_bytes_packed())
+
+
 def _write_hello(out: Any, f: frames.Hello) -> None:
     hello = out.init("hello")
     hello.fleet, hello.member, hello.incarnation = f.fleet, f.member, f.incarnation
--- a/hornbeamgw/daemon/datagrams.py
+++ b/hornbeamgw/daemon/datagrams.py
@@ -11,7 +11,7 @@
 from hornbeamgw.core.node import Envelope, Message
 from hornbeamgw.core.spreading import Have, Push, Scope
 from hornbeamgw.core.tally import Count, Tally
-from hornbeamgw.daemon.codec import CodecError, IsNews, read_news, reader_of, schema, write_members
+from hornbeamgw.daemon.codec import CodecError, IsNews, read_news, reader_of, schema, written_member
 
 _read_head = reader_of(
     schema.Datagram, "fleet", "sender", "version", "digest", "viewHash", "era", "gossip"
@@ -67,7 +67,9 @@
     out.viewHash = datagram.view_hash
     out.era = datagram.era
     if datagram.gossip:
-        write_members(out.init("gossip", len(datagram.gossip)), datagram.gossip)
+        gossip = out.init("gossip", len(datagram.gossip))
+        for index, member in enumerate(datagram.gossip):
+            gossip[index] = written_member(member)
     _write_message(out, datagram.message)
     packed: bytes = out.to_bytes_packed()
     return packed
