--- a/hornbeamgw/daemon/datagrams.py
+++ b/hornbeamgw/daemon/datagrams.py
@@ -11,7 +11,11 @@
 from hornbeamgw.core.node import Envelope, Message
 from hornbeamgw.core.spreading import Have, Push, Scope
 from hornbeamgw.core.tally import Count, Tally
-from hornbeamgw.daemon.codec import CodecError, read_member, schema, write_members
+from hornbeamgw.daemon.codec import CodecError, IsNews, read_news, reader_of, schema, written_member
+
+_read_head = reader_of(
+    schema.Datagram, "fleet", "sender", "version", "digest", "viewHash", "era", "gossip"
+)
 
 
 def fleet_hash(fleet: str) -> int:
@@ -63,14 +67,16 @@
     out.viewHash = datagram.view_hash
     out.era = datagram.era
     if datagram.gossip:
-        write_members(out.init("gossip", len(datagram.gossip)), datagram.gossip)
+        gossip = out.init("gossip", len(datagram.gossip))
+        for index, member in enumerate(datagram.gossip):
+            gossip[index] = written_member(member)
     _write_message(out, datagram.message)
     packed: bytes = out.to_bytes_packed()
     return packed
 
 
 def _read_message(raw: Any) -> Message:
-    kind = str(raw.which())
+    kind = raw._which_str()
     if kind == "probe":
         return Probe(raw.probe)
     if kind == "ack":
@@ -84,16 +90,20 @@
     return _read_tally(raw.tally) if kind == "tally" else Have()
 
 
-def decode_datagram(fleet: int, payload: bytes) -> Envelope:
-    """Return the datagram in a payload; raise CodecError where it is none of this fleet."""
+def decode_datagram(
+    fleet: int, payload: bytes, is_news: IsNews = lambda address, order: True
+) -> Envelope:
+    """Return the datagram in a payload, of its gossip only what is news.
+
+    Raises CodecError where it is none of this fleet.
+    """
     try:
         raw = schema.Datagram.from_bytes_packed(payload)
-        if raw.fleet != fleet:
+        from_fleet, sender, version, digest, view_hash, era, members = _read_head(raw)
+        if from_fleet != fleet:
             raise CodecError("a datagram of another fleet")
-        gossip = [read_member(member) for member in raw.gossip]
-        message = _read_message(raw)
-        head = raw.sender, raw.version, raw.digest, raw.viewHash
-        return Envelope(*head, gossip, message, raw.era)
+        gossip = read_news(members, is_news)
+        return Envelope(sender, version, digest, view_hash, gossip, _read_message(raw), era)
     except CodecError:
         raise
     except (capnp.KjException, ValueError, UnicodeError) as error:
