Drain requests that are not idempotent before a rollout is completed

Callers saw "may have run" for bookings when a rollout was completed: the old servers are stopped then without draining, and whatever still ran there was cut off.

Cause: requests move only 0.6 to 2 s before, longest routes first by their mean, so the tail of a route is missed; and a daemon whose part of the bound is spent goes on to send to the old servers until the decision.

Now requests that are not idempotent are kept from the old servers 1.5 s ahead of the decision: they go to the new version within the bound, or wait until the order goes on. Once the version is found good (as long before the deadline as ever), all requests go to it, gates of old servers refuse such requests, and `completed` is written when each has told that it holds none, or 0.3 s before the deadline. Messages gain three fields with defaults; daemons of the version before read and are read.

Ruled out: waiting alone or moving earlier alone (below); moving all such requests for as long as the longest takes, which the bound does not cover; an earlier decision, which gives all requests to versions that turn bad after it.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -67,6 +67,65 @@
     When a server of a third version appears later
     Then requests go to the new and the third version, and no more to the one before
 
+  # Requests that are not idempotent, before the servers of before stop
+
+  Scenario Outline: Requests that are not idempotent are kept from servers that are about to stop
+    Given a daemon of a fleet of 64 that may expose 0.1 of the requests and 50 more
+    And it hears that the servers of before are "<closing>" while requests move
+    When 2000 requests that are <kind> reach servers of the service
+    Then at most <most> of them went to the new version
+    And at least <least> of them went to the new version
+    And <waiting> of the others waited
+
+    Examples:
+      | closing    | kind           | least | most | waiting |
+      | OPEN       | not idempotent | 160   | 182  | none    |
+      | IDEMPOTENT | not idempotent | 160   | 182  | all     |
+      | IDEMPOTENT | idempotent     | 160   | 182  | none    |
+      | CLOSED     | not idempotent | 2000  | 2000 | none    |
+      | CLOSED     | idempotent     | 2000  | 2000 | none    |
+
+  Scenario: Those that wait ask again and again, and take nothing of the bound
+    Given a daemon of a fleet of 64 that may expose 0.1 of the requests and 50 more
+    And it hears that the servers of before are "IDEMPOTENT" while requests move
+    When 2000 requests that are not idempotent reach servers of the service
+    And 20 requests that have waited ask 100 times each
+    Then at most 182 of them went to the new version
+    And none of those that have waited did
+
+  Scenario: None waits for a version that a daemon itself has seen to fail
+    Given a daemon of a fleet of 1 that may expose 0.5 of the requests and 50 more
+    And it hears that the servers of before are "IDEMPOTENT" while requests move
+    When 200 requests reach servers of the service, and those at the new version fail
+    Then at most 8 of them went to the new version
+    And a request that is not idempotent goes to the version of before
+
+  Scenario: A server that is closed runs no further request that is not idempotent, until it is open
+    Given a gate beside a server of the version of before, at work on a booking
+    When it hears that the servers of before are "CLOSED" while requests move
+    Then it refuses a further booking, which surely has not run
+    And it still takes a lookup
+    And its tally tells that it is closed and holds 1 booking
+    When that booking is answered
+    Then its tally tells that it is closed and holds 0 bookings
+    When it hears that requests no longer move
+    Then it takes a further booking
+    And its tally tells that it is open
+
+  Scenario: An order is completed once all servers of before have told that they may stop
+    Given a leader of an order that is due, by which 2 servers of before are closed
+    Then it completes the order only after both have told that they hold no booking
+    And what they told of an earlier closing does not count
+
+  Scenario: An order is completed before its deadline though a server of before tells nothing
+    Given a leader of an order that is due, by which 2 servers of before are closed
+    Then it completes the order 0.3 s before the deadline
+
+  Scenario: Daemons of the version before read what is told of closing, and are read
+    Given what a daemon tells of a closed server and of a rollout
+    Then a daemon that knows of no closing reads the rest of it
+    And what such a daemon tells is read as open
+
   # What is bad
 
   Scenario Outline: An answer is bad by its server's doing
@@ -116,6 +175,29 @@
       | badness    | seed | right |
       | under load | 104  | 12    |
 
+  Scenario Outline: Requests that are not idempotent and take long are not cut off
+    When 12 rollouts of a good version are played beside "<trouble>" with bookings from seed <seed>
+    Then at least 11 of them are decided rightly
+    And no booking was cut off where the order was completed
+    And all that were completed were so before the deadline
+
+    Examples:
+      | trouble     | seed |
+      | none        | 110  |
+      | leader ends | 111  |
+      | restarts    | 112  |
+
+  Scenario Outline: A bad version gets no more than its bound, though bookings are kept for it
+    When 6 rollouts of a version that is bad "<badness>" are played with bookings from seed <seed>
+    Then at least 6 of them are decided rightly
+    And no bad version got more than its bound
+
+    Examples:
+      | badness   | seed |
+      | at once   | 113  |
+      | slow      | 114  |
+      | late      | 115  |
+
   # Real daemons, against the stand-in store
 
   Scenario: A good version takes over before its order is due, and nothing is cut off
@@ -125,6 +207,13 @@
     And every call was answered
     And from then on only version "v2" runs calls
 
+  Scenario: Bookings that take a second are not cut off when the servers of before stop
+    Given three daemons with a server each, and many callers whose bookings take up to a second
+    When the operator orders version "v2" within 6 seconds, and servers as good start alongside
+    Then the operator reads "completed" within 6 seconds
+    And every call was answered
+    And from then on only version "v2" runs calls
+
   Scenario: A bad version is taken back, and most callers never met it
     Given three daemons with a server each, and callers that never rest
     When the operator orders version "v2" within 6 seconds, and bad servers of it start alongside
--- a/features/steps/rollouts_live.py
+++ b/features/steps/rollouts_live.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from typing import NamedTuple
 
 import msgspec
 from behave import given, then, when
@@ -22,10 +23,27 @@
 PAUSE_S = 0.02
 
 
-def configuration():
+class Load(NamedTuple):
+    """Hold what callers ask for, and what servers are like; times in ms."""
+
+    callers: int
+    kind: str
+    timeout: int
+    objective: int
+    servers: dict[str, float]
+
+
+LOOKUPS = Load(CALLERS, "safe", 2000, 500, {})
+# Long ones take less than three times as long as others, so that they are not taken for slow.
+BOOKING_SERVERS = {"work": 0.35, "slow_share": 0.1, "slow_times": 2.8, "slots": 40}
+BOOKINGS = Load(60, "unsafe", 3000, 1500, BOOKING_SERVERS)
+
+
+def configuration(load):
     columns = ["name", "host", "prefix", "kind", "service", "timeout_ms", "slo_ms", "priority"]
     columns += ["attempts", "traffic_split"]
-    rows = [["r-0", "test.example", "/0/", "safe", SERVICE, 2000, 500, 2, 2, None]]
+    what = [load.kind, SERVICE, load.timeout, load.objective, 2, 2, None]
+    rows = [["r-0", "test.example", "/0/", *what]]
     services = {"columns": ["name", "health_path"], "rows": [[SERVICE, "/healthz"]]}
     document = {"version": 3, "limits": {"idle_timeout_ms": 15000}, "services": services}
     return msgspec.msgpack.encode({**document, "routes": {"columns": columns, "rows": rows}})
@@ -61,15 +79,15 @@
         context.servers.append((index, server))
 
 
-async def call_forever(context, index):
+async def call_forever(context, index, timeout):
     """Call without rest, at a daemon that lives; a call counts by its status."""
     while True:
         daemon = context.living[index % len(context.living)]
         address = context.fleet.addresses[context.fleet.daemons.index(daemon)]["callers"]
-        client = HttpClient(address, 2.5)
+        client = HttpClient(address, timeout / 1000 + 0.5)
         try:
             for _ in range(20):
-                headers = [(b"host", b"test.example"), (b"x-timeout-ms", b"2000")]
+                headers = [(b"host", b"test.example"), (b"x-timeout-ms", b"%d" % timeout)]
                 answer = await client.request("GET", "/0/", headers)
                 context.statuses.append(answer.status)
                 await asyncio.sleep(PAUSE_S)
@@ -82,19 +100,29 @@
 
 @given("three daemons with a server each, and callers that never rest")
 def beside(context):
+    begin_with(context, LOOKUPS)
+
+
+@given("three daemons with a server each, and many callers whose bookings take up to a second")
+def beside_bookings(context):
+    begin_with(context, BOOKINGS)
+
+
+def begin_with(context, load):
     async def begin():
         context.store = StandInStore()
         context.store_address = await context.store.start()
-        context.store.put("op", "config", configuration())
+        context.store.put("op", "config", configuration(load))
         context.fleet = LocalFleet(context.scenario.name)
         context.living = [await start_daemon(context) for _ in range(3)]
         context.servers, context.statuses = [], []
-        await start_servers(context, "v1")
+        await start_servers(context, "v1", **load.servers)
         for daemon in context.living:
             view = daemon.control.view
             await wait_for(lambda v=view: sum(bool(m.software) for m in all_of(v)) == 3)
         context.tasks = [
-            asyncio.create_task(call_forever(context, index)) for index in range(CALLERS)
+            asyncio.create_task(call_forever(context, index, load.timeout))
+            for index in range(load.callers)
         ]
         await asyncio.sleep(0.3)
         context.statuses.clear()
@@ -154,6 +182,11 @@
     context.runner.run(order(context, target, seconds, work=0.01))
 
 
+@when('the operator orders version "{target}" within {seconds:d} seconds, and servers as good start alongside')  # fmt: skip  # noqa: E501
+def order_as_good(context, target, seconds):
+    context.runner.run(order(context, target, seconds, **BOOKING_SERVERS))
+
+
 @when('the operator orders version "{target}" within {seconds:d} seconds, and bad servers of it start alongside')  # fmt: skip  # noqa: E501
 def order_bad(context, target, seconds):
     context.runner.run(order(context, target, seconds, failing_share=0.5))
--- a/hornbeamgw/core/exposure.py
+++ b/hornbeamgw/core/exposure.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from hornbeamgw.core.membership import Member, server_key
-from hornbeamgw.core.standing import Phase, Standing, is_later
+from hornbeamgw.core.standing import Closing, Phase, Standing, is_later
 
 # What is left unspent covers requests under way and daemons that hear of an order late.
 SHARE_SPENT = 0.9
@@ -56,11 +56,16 @@
 
 
 class Asked(NamedTuple):
-    """Hold what decides whether a request may try a version: its length (s), and if it is new."""
+    """Hold what decides whether a request may try a version: its length (s), and if it is new.
+
+    One that is not idempotent must not run at servers that are about to stop; it may have waited.
+    """
 
     service: str
     length: float
     is_first_attempt: bool
+    is_idempotent: bool = True
+    has_waited: bool = False
 
 
 class ExposureState:
@@ -154,6 +159,7 @@
     BEFORE = "before"  # those of versions in use
     TURN = "turn"  # those of the new version whose turn it is to be tried
     NEW = "new"  # all of the new version
+    WAIT = "wait"  # none yet: those of before are about to stop, and the bound leaves no room
 
 
 def arm_of(state: ExposureState, asked: Asked, wall: float, rng: random.Random) -> Arm:
@@ -161,6 +167,11 @@
     current = state.current_by_service.get(asked.service)
     if current is None or current.is_final or current.phase is Phase.HELD:
         return Arm.BEFORE
+    closing = current.closing if current.phase is Phase.MOVING else Closing.OPEN
+    if closing is Closing.CLOSED and (asked.is_first_attempt or not asked.is_idempotent):
+        return Arm.NEW
+    if closing is Closing.IDEMPOTENT and not asked.is_idempotent:
+        return _arm_of_unsafe(state, current, asked.has_waited, rng)
     if not asked.is_first_attempt or not _has_room(state, current, rng):
         return Arm.BEFORE
     if current.phase is Phase.TRIAL:
@@ -171,6 +182,31 @@
     return Arm.NEW if asked.length * 1000 >= current.length_ms else Arm.BEFORE
 
 
+def _arm_of_unsafe(
+    state: ExposureState, current: Standing, has_waited: bool, rng: random.Random
+) -> Arm:
+    """Return where a request goes that the servers of before should no longer be given.
+
+    One that waits asks many times, and by chance would each time get a little more of the bound; so
+    it gets none, and waits until it is known how the order goes on.
+    """
+    if not has_waited and _has_room(state, current, rng):
+        return Arm.NEW
+    is_bad = _looks_bad(state.spent_by_version[current.service, current.target])
+    return Arm.BEFORE if is_bad else Arm.WAIT
+
+
+def closed_step(state: ExposureState, service: str, software: str) -> int:
+    """Return the step at which servers of a version were closed, 0 where they are open.
+
+    A closed server takes no further request that is not idempotent.
+    """
+    current = state.current_by_service.get(service)
+    if current is None or software == current.target or current.phase is not Phase.MOVING:
+        return 0
+    return current.step if current.closing is Closing.CLOSED else 0
+
+
 def turn_of(standing: Standing) -> float:
     """Return how long (s) a turn of servers on trial lasts."""
     return max(LEAST_TURN_S, standing.length_ms / 1000)
--- a/hornbeamgw/core/rollout.py
+++ b/hornbeamgw/core/rollout.py
@@ -5,6 +5,11 @@
 servers of before when these are stopped; that is kept short, since a version that fails only under
 load is met here. What speaks against the version at any time takes it back at once.
 
+Servers of before are stopped without draining, so they are drained before the order is completed.
+Requests that are not idempotent are kept from them some time ahead of the decision, within the
+bound. Once the version is found good all requests go to it, and the order is completed as soon as
+no such request is left at the servers of before, or its deadline is near.
+
 Several daemons lead at the same time, one behind the other by a lag. Each takes over what another
 has told, so that one that is gone, cut off or slow is made up for by the next; only a word against
 the version is never delayed.
@@ -24,7 +29,7 @@
     TRIAL_PART,
     ExposureBound,
 )
-from hornbeamgw.core.standing import NO_REQUEST_MS, Phase, Standing, is_later
+from hornbeamgw.core.standing import NO_REQUEST_MS, Closing, Phase, Standing, is_later
 
 LEADERS = 2
 LAG_S = 0.4
@@ -34,6 +39,15 @@
 # How long (s) before all requests those are moved that take at least so long (ms): so few of them
 # are still at work at the servers of before when those are stopped.
 MOVES = ((1.1, 1000), (0.5, 500), (0.2, 200), (0.0, 0))
+# Requests that are not idempotent are kept from the servers of before for so long (s) ahead of the
+# decision, or this part of a short order. With what is left from there to the deadline it outlasts
+# work of 2 s, which callers with a deadline of 2.3 s may wait for.
+CLOSES_S = 1.5
+CLOSES_PART = 0.15
+# This part of the margin is left when an order is completed though such requests still run.
+COMPLETES_AT_PART = 0.3
+# Where the deadline has passed, as the platform was away, they are waited for so long (s).
+LATE_DRAIN_S = 1.7
 # All requests are moved for as long (s) as what is left of the bound lasts, within these limits.
 LEAST_MOVED_S = 0.6
 MOST_MOVED_S = 2.0
@@ -124,9 +138,16 @@
     state.stepped_at = now
 
 
-def _to(state: RolloutState, phase: Phase, why: str, length_ms: int = NO_REQUEST_MS) -> Step:
+def _to(
+    state: RolloutState,
+    phase: Phase,
+    why: str,
+    length_ms: int = NO_REQUEST_MS,
+    closing: Closing = Closing.OPEN,
+) -> Step:
     held = state.standing
-    return Step(held._replace(phase=phase, step=held.step + 1, length_ms=length_ms), why)
+    step = held.step + 1
+    return Step(held._replace(phase=phase, step=step, length_ms=length_ms, closing=closing), why)
 
 
 def next_step(state: RolloutState, seen: Seen, now: float) -> Step | None:
@@ -158,6 +179,8 @@
         return _while_away(state, at)
     if state.standing.phase is Phase.TRIAL:
         return _from_trial(state, against, at)
+    if state.standing.closing is Closing.CLOSED:
+        return _from_closed(state, seen, at)
     return _from_moving(state, against, at)
 
 
@@ -195,7 +218,8 @@
     if against.deviations >= DOUBTS_AT:
         return _back_in_doubt(state, at)
     state.decides_at = max(state.decides_at, at + LEAST_MOVED_S)
-    return _to(state, Phase.MOVING, "the order is due", _length_at(state, at))
+    due = "the order is due"
+    return _to(state, Phase.MOVING, due, _length_at(state, at), _closing_at(state, at))
 
 
 def _length_at(state: RolloutState, at: float) -> int:
@@ -205,17 +229,43 @@
     return min(lengths, default=NO_REQUEST_MS)
 
 
+def _closing_at(state: RolloutState, at: float) -> Closing:
+    """Return what the servers of before are given now, ahead of the decision."""
+    ahead = min(CLOSES_S, CLOSES_PART * state.order.duration)
+    return Closing.IDEMPOTENT if at >= state.decides_at - ahead else Closing.OPEN
+
+
 def _from_moving(state: RolloutState, against: Suspicion, at: float) -> Step | None:
-    length_ms = _length_at(state, at)
-    if length_ms < state.standing.length_ms:
-        return _to(state, Phase.MOVING, "more requests move", length_ms)
+    length_ms, closing = _length_at(state, at), _closing_at(state, at)
+    if length_ms < state.standing.length_ms or closing > state.standing.closing:
+        return _to(state, Phase.MOVING, "more requests move", length_ms, closing)
     if at < state.decides_at or at < state.stepped_at + LEAST_MOVED_S / 2:
         return None
     if not evidence.has_enough(state.evidence):
         return _to(state, Phase.BACK, "too few answers were seen")
     if against.deviations >= DOUBTS_AT:
         return _back_in_doubt(state, at)
-    return _to(state, Phase.DONE, "answers no worse than before")
+    return _to(state, Phase.MOVING, "answers no worse than before", 0, Closing.CLOSED)
+
+
+def _from_closed(state: RolloutState, seen: Seen, at: float) -> Step | None:
+    """Complete the order once the servers of before may be stopped."""
+    if all(_is_drained(state, server) for server in seen.before):
+        return _to(state, Phase.DONE, "the servers of before are drained")
+    left = COMPLETES_AT_PART * _margin(state.order.duration)
+    is_late = state.stepped_at >= state.ends_at
+    until = state.stepped_at + LATE_DRAIN_S if is_late else state.ends_at - left
+    if at + state.lag < until:
+        return None
+    return _to(state, Phase.DONE, "the deadline is near")
+
+
+def _is_drained(state: RolloutState, server: str) -> bool:
+    """Return whether a server has told that it is closed and holds no such request."""
+    tally = state.evidence.tallies_by_server.get(server)
+    if tally is None or tally.unsafe:
+        return False
+    return tally.closed_step == state.standing.step
 
 
 def _back_in_doubt(state: RolloutState, at: float) -> Step | None:
--- a/hornbeamgw/core/standing.py
+++ b/hornbeamgw/core/standing.py
@@ -20,6 +20,17 @@
     DONE = 4  # for good to the new version
 
 
+class Closing(enum.IntEnum):
+    """Say what servers of before are still given while requests are moving.
+
+    A request that is not idempotent is lost to its caller if the server stops beneath it.
+    """
+
+    OPEN = 0  # what is not moved
+    IDEMPOTENT = 1  # no other; those go to the new version, or wait where the bound leaves no room
+    CLOSED = 2  # none, as the new version was found good; what runs goes on to its end
+
+
 class Standing(NamedTuple):
     """Hold how far an order has come; the step rises with each change.
 
@@ -33,6 +44,7 @@
     phase: Phase
     step: int = 0
     length_ms: int = NO_REQUEST_MS
+    closing: Closing = Closing.OPEN
 
     @property
     def is_final(self) -> bool:
--- a/hornbeamgw/core/tally.py
+++ b/hornbeamgw/core/tally.py
@@ -28,12 +28,18 @@
 
 
 class Tally(NamedTuple):
-    """Hold what was counted at a server, by its number there, since that run of it began."""
+    """Hold what was counted at a server, by its number there, since that run of it began.
+
+    Beside it goes at which step of a rollout the server was closed, 0 while it is open, and how
+    many requests that are not idempotent a closed one still holds.
+    """
 
     service: str
     server: int
     software: str
     counts_by_route: Mapping[str, Count]
+    closed_step: int = 0
+    unsafe: int = 0
 
 
 class Ended(NamedTuple):
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -87,6 +87,7 @@
         self.rounds_left = sampling.ROUNDS
         self.takers: list[Candidate] = []
         self.why_far: Why | None = None
+        self.waited = 0.0  # s, for servers that were about to be replaced
         self.retry_after_ms = 0
         self.arrivals = 0
         self.refusals = 0
@@ -170,6 +171,8 @@
         told["gates_asked"] = call.asked
     if call.came_back:
         told["came_back"] = True
+    if call.waited:
+        told["waited_ms"] = round(call.waited * 1000)
     if failure is None:
         told["status"] = call.status
     else:
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -11,7 +11,7 @@
 from hornbeamgw.core.finding import MOST_FINDINGS, MOST_FINGERPRINTS, Finding, FindingKind
 from hornbeamgw.core.membership import FurtherServer, Member, ServerState, Status
 from hornbeamgw.core.snapshot import Limits
-from hornbeamgw.core.standing import MOST_STANDINGS, Phase, Standing
+from hornbeamgw.core.standing import MOST_STANDINGS, Closing, Phase, Standing
 from hornbeamgw.core.verdict import Failure, Reason, Verdict
 from hornbeamgw.daemon import frames
 
@@ -61,11 +61,13 @@
 def _write_standing(out: Any, standing: Standing) -> None:
     out.service, out.target, out.number = standing.service, standing.target, standing.number
     out.phase, out.step, out.lengthMs = int(standing.phase), standing.step, standing.length_ms
+    out.closing = int(standing.closing)
 
 
 def _read_standing(raw: Any) -> Standing:
     phase = Phase(raw.phase)
-    return Standing(raw.service, raw.target, raw.number, phase, raw.step, raw.lengthMs)
+    closing = Closing(min(raw.closing, Closing.CLOSED))
+    return Standing(raw.service, raw.target, raw.number, phase, raw.step, raw.lengthMs, closing)
 
 
 def _write_further_server(out: Any, server: FurtherServer) -> None:
--- a/hornbeamgw/daemon/datagrams.py
+++ b/hornbeamgw/daemon/datagrams.py
@@ -13,6 +13,8 @@
 from hornbeamgw.core.tally import Count, Tally
 from hornbeamgw.daemon.codec import CodecError, read_member, schema, write_members
 
+MOST_UNSAFE = 0xFFFF  # a tally carries it in 16 bits
+
 
 def fleet_hash(fleet: str) -> int:
     """Return the number that stands for a fleet in a datagram."""
@@ -27,6 +29,7 @@
 
 def _write_tally(out: Any, tally: Tally) -> None:
     out.service, out.server, out.software = tally.service, tally.server, tally.software
+    out.closedStep, out.unsafe = tally.closed_step, min(tally.unsafe, MOST_UNSAFE)
     counts = out.init("counts", len(tally.counts_by_route))
     for index, (route, count) in enumerate(tally.counts_by_route.items()):
         counts[index].route, counts[index].answers, counts[index].bad = route, *count
@@ -34,7 +37,8 @@
 
 def _read_tally(raw: Any) -> Tally:
     counts_by_route = {count.route: Count(count.answers, count.bad) for count in raw.counts}
-    return Tally(raw.service, raw.server, raw.software, counts_by_route)
+    closing = raw.closedStep, raw.unsafe
+    return Tally(raw.service, raw.server, raw.software, counts_by_route, *closing)
 
 
 def _write_message(out: Any, message: Message) -> None:
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -7,14 +7,15 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
-from hornbeamgw.core import admission, breaker, tally
+from hornbeamgw.core import admission, breaker, exposure, tally
 from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
 from hornbeamgw.core.dialect import HORNBEAMGW, Dialect
+from hornbeamgw.core.exposure import ExposureBound, ExposureState
 from hornbeamgw.core.fingerprint import as_text
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.registration import Announcement, is_renewal, is_same_run
 from hornbeamgw.core.snapshot import Limits, Snapshot
-from hornbeamgw.core.tally import Count
+from hornbeamgw.core.tally import Count, Tally
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.flow import Pacer
@@ -46,6 +47,8 @@
 NOBODY = Member("", "", "", 0)
 # A request that must run apart is told to come back after a short request of another's.
 RETRY_AFTER_APART_MS = 20
+# A request that a closed server refuses finds another at once.
+RETRY_AFTER_CLOSED_MS = 20
 
 
 class Gate:
@@ -59,8 +62,13 @@
         policy: str = "deadline",
         pacer: Pacer | None = None,
         quarantine: Quarantine | None = None,
+        exposed: ExposureState | None = None,
     ) -> None:
-        """Take the snapshot in force and what to call when the server's state changes."""
+        """Take the snapshot in force and what to call when the server's state changes.
+
+        Rollouts tell when servers of a version are closed; without, no order is ever heard of.
+        """
+        self._exposed = exposed or ExposureState(ExposureBound(0.0, 0.0))
         self.quarantine = quarantine or Quarantine(NOBODY, lambda *told: None)
         self.state = AdmissionState(policy)
         self.announcement: Announcement | None = None
@@ -232,6 +240,12 @@
             self.counts[f"refused.{refusal.reason}"] += 1
             self._send_failure(attempt, refusal)
             return
+        if not call.idempotent and self._is_closed():
+            self.counts["refused.closed"] += 1
+            detail = "the server is about to be replaced"
+            failure = not_run(Reason.DRAINING, detail, RETRY_AFTER_CLOSED_MS)
+            self._send_failure(attempt, failure)
+            return
         self._refresh_reserved()
         transfer = self.exchange.transfer_time(link, call.route)
         request = request_of(call, attempt_id, limits, transfer, now)
@@ -376,6 +390,19 @@
         self._end(attempt, failure)
         self._act(decisions)
 
+    def _is_closed(self) -> bool:
+        known = self.announcement
+        if known is None:
+            return False
+        return exposure.closed_step(self._exposed, known.service, known.software) > 0
+
+    def tally(self, number: int, known: Announcement) -> Tally:
+        """Return what was counted at the server of that number, and whether it may be stopped."""
+        closed = exposure.closed_step(self._exposed, known.service, known.software)
+        unsafe = sum(not attempt.call.idempotent for attempt in self._attempts.values())
+        counts = dict(self.counts_by_route)
+        return Tally(known.service, number, known.software, counts, closed, unsafe if closed else 0)
+
     def tally_overdue(self, now: float) -> None:
         """Count what runs so long that its answer is slow whenever it comes."""
         for attempt in self._attempts.values():
--- a/hornbeamgw/daemon/gates.py
+++ b/hornbeamgw/daemon/gates.py
@@ -106,7 +106,7 @@
         for gate in self._gates_by_number.values():
             gate.tally_overdue(now)
         return [
-            Tally(known.service, number, known.software, dict(gate.counts_by_route))
+            gate.tally(number, known)
             for number, gate in self._gates_by_number.items()
             if (known := gate.announcement) is not None
         ]
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -117,6 +117,7 @@
                 settings.calls_queueing,
                 pacer,
                 self.quarantine,
+                self.rollouts.state,
             )
         )
         crossed = self.control.meter.crossed
--- a/hornbeamgw/daemon/rollouts/leader.py
+++ b/hornbeamgw/daemon/rollouts/leader.py
@@ -216,6 +216,7 @@
         told: dict[str, Any] = {"service": state.order.service, "target": state.order.target}
         told |= {"phase": step.standing.phase.name.lower(), "why": step.why}
         told |= {"step": step.standing.step, "length_ms": step.standing.length_ms}
+        told |= {"closing": step.standing.closing.name.lower()}
         told |= {"after_s": round(now - state.heard_at, 2), "against": step.against}
         told |= {"new": state.evidence.new, "before": state.evidence.before}
         log.info("rollout step", extra=told)
--- a/hornbeamgw/daemon/rollouts/rollouts.py
+++ b/hornbeamgw/daemon/rollouts/rollouts.py
@@ -83,4 +83,5 @@
 
 
 def _told(standing: Standing) -> dict[str, Any]:
-    return {**standing._asdict(), "phase": standing.phase.name.lower()}
+    named = {"phase": standing.phase.name.lower(), "closing": standing.closing.name.lower()}
+    return {**standing._asdict(), **named}
--- a/hornbeamgw/daemon/rollouts/tallies.py
+++ b/hornbeamgw/daemon/rollouts/tallies.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
+from hornbeamgw.core.standing import Closing
 from hornbeamgw.core.tally import Tally
 from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.rollouts.rollouts import Rollouts
@@ -33,7 +34,10 @@
                 sent_by_server.pop(tally.server, None)
                 continue
             at, last = sent_by_server.get(tally.server, (0.0, None))
-            every = NEW_EVERY_S if tally.software == standing.target else BEFORE_EVERY_S
-            if tally != last and loop.time() - at >= every * 0.9:
+            # The order is completed by what closed servers tell, so a datagram lost is made up for.
+            is_awaited = standing.closing is Closing.CLOSED
+            is_frequent = is_awaited or tally.software == standing.target
+            every = NEW_EVERY_S if is_frequent else BEFORE_EVERY_S
+            if (tally != last or is_awaited) and loop.time() - at >= every * 0.9:
                 sent_by_server[tally.server] = loop.time(), tally
                 send(leaders_of(tally.service), tally)
--- a/hornbeamgw/daemon/servers.py
+++ b/hornbeamgw/daemon/servers.py
@@ -25,6 +25,10 @@
 ASKED_ONE_BY_ONE = 3
 # Versions that are new wait a second for word of an order; how often (s) that is looked at.
 NEWCOMERS_AGAIN_S = 0.2
+# A request that waits for servers to be replaced asks again so often (s), and keeps this part of
+# the time that it had left.
+WAIT_STEP_S = 0.02
+WAIT_KEEPS_PART = 0.3
 
 
 class Servers:
@@ -107,22 +111,39 @@
             self._loads_by_key[key] = (member.server_started_ms, load)
         return load
 
-    def _choice(self, call: Call, view: View, now: float) -> Choice:
+    def _choice(self, call: Call, view: View, now: float, arm: Arm) -> Choice:
         traits = self.traits_of(call)
-        candidates = self._candidates(view, call.service, now, self._arm_of(call, traits))
+        candidates = self._candidates(view, call.service, now, arm)
         if not candidates:
             candidates = self._candidates(view, call.service, now)
         return Choice(view.me, candidates, call.tried, traits, call.aim, now, call.objective)
 
-    def _arm_of(self, call: Call, traits: RouteTraits) -> Arm:
+    def _arm_of(self, call: Call, has_waited: bool = False) -> Arm:
         if not self._exposed.current_by_service:
             return Arm.BEFORE
-        asked = exposure.Asked(call.service, traits.service, not call.placed)
+        length = self.traits_of(call).service
+        idempotent = call.route.idempotent
+        asked = exposure.Asked(call.service, length, not call.placed, idempotent, has_waited)
         return exposure.arm_of(self._exposed, asked, time.time(), self._rng)
 
+    async def _awaited_arm(self, call: Call) -> Arm:
+        """Return among which servers one is chosen, waiting while there should be none."""
+        loop = asyncio.get_running_loop()
+        arm = self._arm_of(call)
+        if arm is not Arm.WAIT:
+            return arm
+        since = loop.time()
+        until = call.deadline - WAIT_KEEPS_PART * (call.deadline - since)
+        while arm is Arm.WAIT and loop.time() < until and not (call.caller_gone or call.expired):
+            await asyncio.sleep(WAIT_STEP_S)
+            arm = self._arm_of(call, has_waited=True)
+        call.waited += loop.time() - since
+        return Arm.BEFORE if arm is Arm.WAIT else arm
+
     async def choose(self, call: Call, view: View) -> Candidate | None:
         """Return where to send a call: by what was heard of all servers, or by asking some."""
-        choice = self._choice(call, view, asyncio.get_running_loop().time())
+        arm = await self._awaited_arm(call)
+        choice = self._choice(call, view, asyncio.get_running_loop().time(), arm)
         chosen = await self._choose_by(choice, call)
         call.why_far = None if chosen is None else crossing.why_far(choice, chosen)
         return chosen
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -159,6 +159,7 @@
   phase @3 :UInt8;
   step @4 :UInt16;
   lengthMs @5 :UInt16;
+  closing @6 :UInt8;
 }
 
 struct FurtherServer {
@@ -199,6 +200,8 @@
   server @1 :UInt16;
   software @2 :Text;
   counts @3 :List(Count);
+  closedStep @4 :UInt16;
+  unsafe @5 :UInt16;
 
   struct Count {
     route @0 :Text;
--- a/hornbeamgw/testing/rollout_model.py
+++ b/hornbeamgw/testing/rollout_model.py
@@ -17,7 +17,7 @@
 from hornbeamgw.core.exposure import Arm, Asked, ExposureBound, ExposureState
 from hornbeamgw.core.membership import Member, server_key
 from hornbeamgw.core.rollout import LAG_S, Order, RolloutState, Seen
-from hornbeamgw.core.standing import Phase, Standing
+from hornbeamgw.core.standing import Closing, Phase, Standing
 from hornbeamgw.core.tally import Count, Ended, Tally
 from hornbeamgw.core.verdict import Failure, Reason, may_have_run
 
@@ -33,6 +33,12 @@
 COLD_S, COLD_FACTOR = 3.0, 2.0
 SPREAD = 0.7
 AIM_FACTOR = 4.0
+# Work with a long tail: how long (s) the few long requests take, and when callers give up.
+TAIL_S = (1.0, 2.0)
+DEADLINE_S = 2.3
+WAIT_STEP_S = 0.02
+WAIT_PART = 0.7
+MAX_REFUSALS = 3
 AWAY_S = 4.0
 BROKE = may_have_run(Reason.BACKEND_BROKE)
 
@@ -40,7 +46,8 @@
 class Load(NamedTuple):
     """Hold a service: daemons, servers of each version, slots, requests a second, and routes.
 
-    Each route has a share of the requests and a time that they take (s).
+    Each route has a share of the requests and a time that they take (s). Some routes are not
+    idempotent; a share of the requests on these is long.
     """
 
     daemons: int
@@ -48,6 +55,8 @@
     slots: int
     rate: float
     routes: tuple[tuple[float, float], ...]
+    unsafe_routes: tuple[int, ...] = ()
+    tail_share: float = 0.0
 
 
 class Badness(NamedTuple):
@@ -81,6 +90,11 @@
     sent_after_back: int
     cut_off: int
     bad: int
+    unsafe_cut_off: int = 0
+    unsafe_refused: int = 0
+    waited: int = 0
+    waited_s: float = 0.0
+    longest_wait: float = 0.0
 
 
 class _Server:
@@ -91,6 +105,7 @@
         self.running = 0
         self.counts_by_route: dict[str, Count] = {}
         self.sent_at = -1.0
+        self.unsafe = 0
         self.is_faulty = False
         self.is_stopped = False
 
@@ -104,6 +119,7 @@
         started: float,
         failure: Failure | None,
         is_first: bool,
+        is_idempotent: bool,
     ) -> None:
         self.daemon = daemon
         self.server = server
@@ -111,6 +127,7 @@
         self.started = started
         self.failure = failure
         self.is_first = is_first
+        self.is_idempotent = is_idempotent
         self.is_cold = started < server.up_at + COLD_S
         self.is_over = False
         self.is_tallied = False
@@ -144,6 +161,8 @@
         self.written: Phase | None = None
         self.decided_at = math.inf
         self.reached = self.exposed = self.bad = self.cut_off = self.sent_after_back = 0
+        self.unsafe_cut_off = self.unsafe_refused = 0
+        self.waits: list[float] = []
         self.bad_enough_at = math.inf
         self.is_over_bound = False
 
@@ -183,6 +202,11 @@
             self.sent_after_back,
             self.cut_off,
             self.bad,
+            self.unsafe_cut_off,
+            self.unsafe_refused,
+            len(self.waits),
+            sum(self.waits),
+            max(self.waits, default=0.0),
         )
 
     # Requests
@@ -201,15 +225,20 @@
     def _up(self, servers: list[_Server]) -> list[_Server]:
         return [s for s in servers if s.up_at <= self.now and not s.is_stopped]
 
-    def _chosen(self, state: ExposureState, length: float, is_first: bool) -> _Server | None:
-        asked = Asked(SERVICE, length, is_first)
-        arm = exposure.arm_of(state, asked, self.now, self.rng)
+    def _arm(
+        self, state: ExposureState, route: int, is_first: bool, has_waited: bool = False
+    ) -> Arm:
+        is_idempotent = route not in self.load.unsafe_routes
+        asked = Asked(SERVICE, self.load.routes[route][1], is_first, is_idempotent, has_waited)
+        return exposure.arm_of(state, asked, self.now, self.rng)
+
+    def _chosen(self, state: ExposureState, arm: Arm) -> _Server | None:
         new = self._up(self.new)
         if arm is Arm.TURN and new:
             turn_s = exposure.turn_of(state.current_by_service[SERVICE])
             turn = exposure.on_turn([s.member for s in new], turn_s, self.now)
             new = [s for s in new if s.member in turn]
-        if arm is not Arm.BEFORE and new:
+        if arm in (Arm.TURN, Arm.NEW) and new:
             return self._idler(new)
         current = state.current_by_service.get(SERVICE)
         is_done = current is not None and current.phase is Phase.DONE
@@ -221,10 +250,43 @@
         two = [self.rng.choice(servers), self.rng.choice(servers)]
         return min(two, key=lambda server: (server.running + 1) / server.speed)
 
+    def _gate_of(self, server: _Server) -> ExposureState:
+        """Return what the daemon beside a server knows."""
+        servers = self.new if server.member.software == NEW else self.old
+        return self.states[servers.index(server) % len(self.states)]
+
+    def _is_closed(self, server: _Server) -> bool:
+        software = server.member.software
+        return exposure.closed_step(self._gate_of(server), SERVICE, software) > 0
+
+    def _send_unsafe(self, daemon: int, route: int, since: float, refusals: int = 0) -> None:
+        """Send a request that is not idempotent, or let it wait for servers or for a slot."""
+        state = self.states[daemon]
+        arm = self._arm(state, route, not refusals, self.now > since)
+        may_wait = self.now < since + WAIT_PART * DEADLINE_S
+        server = None if arm is Arm.WAIT and may_wait else self._chosen(state, arm)
+        if server is not None and self._is_closed(server):
+            exposure.note_sent(state, SERVICE, server.member.software)
+            server, refusals = None, refusals + 1
+        is_placed = server is not None and server.running < self.load.slots
+        if not is_placed and may_wait and refusals < MAX_REFUSALS:
+            again = self.now + WAIT_STEP_S
+            self._at(again, lambda: self._send_unsafe(daemon, route, since, refusals))
+            return
+        if server is None or not is_placed:
+            self.unsafe_refused += 1
+            return
+        if self.now > since:
+            self.waits.append(self.now - since)
+        exposure.note_sent(state, SERVICE, server.member.software)
+        self._begin(daemon, server, route, True)
+
     def _send(self, daemon: int, route: int, is_first: bool) -> None:
-        _, work = self.load.routes[route]
+        if route in self.load.unsafe_routes:
+            self._send_unsafe(daemon, route, self.now)
+            return
         state = self.states[daemon]
-        server = self._chosen(state, work, is_first)
+        server = self._chosen(state, self._arm(state, route, is_first))
         if server is None:
             return
         exposure.note_sent(state, SERVICE, server.member.software)
@@ -233,10 +295,16 @@
             if is_first:
                 self._send(daemon, route, False)
             return
+        self._begin(daemon, server, route, is_first)
+
+    def _begin(self, daemon: int, server: _Server, route: int, is_first: bool) -> None:
+        _, work = self.load.routes[route]
         self._count_arrival(server)
         server.running += 1
         held, failure = self._outcome(server, route, work)
-        run = _Run(daemon, server, route, self.now, failure, is_first)
+        is_idempotent = route not in self.load.unsafe_routes
+        server.unsafe += not is_idempotent
+        run = _Run(daemon, server, route, self.now, failure, is_first, is_idempotent)
         limit = tally.slow_after(work, AIM_FACTOR * work, run.is_cold)
         self._at(self.now + limit, lambda: self._look_overdue(run))
         self._at(self.now + held, lambda: self._finish(run))
@@ -270,6 +338,10 @@
         held = work / server.speed * self.rng.lognormvariate(-SPREAD * SPREAD / 2, SPREAD)
         if self.now < server.up_at + COLD_S:
             held *= COLD_FACTOR
+        if route in self.load.unsafe_routes:
+            if self.rng.random() < self.load.tail_share:
+                held = self.rng.uniform(*TAIL_S)
+            held = min(held, DEADLINE_S)
         failure = None
         if server.is_faulty and self._has_faults() and self.rng.random() < 0.4:
             failure = BROKE
@@ -292,8 +364,12 @@
         run.is_over = True
         daemon, server, route, failure = run.daemon, run.server, run.route, run.failure
         server.running -= 1
+        server.unsafe -= not run.is_idempotent
         if server.is_stopped:
             self.cut_off += 1
+            # One that would have passed its deadline is not lost by the stop.
+            is_in_time = self.now < run.started + DEADLINE_S
+            self.unsafe_cut_off += not run.is_idempotent and is_in_time
             failure = BROKE
         state = self.states[daemon]
         exposure.note_reached(state, SERVICE)
@@ -303,7 +379,7 @@
         bad = tally.is_bad(Ended(failure, 200, held, work, AIM_FACTOR * work, run.is_cold))
         if bad is not None and not run.is_tallied and not server.is_stopped:
             tally.note(server.counts_by_route, f"r-{route}", bad)
-        if failure is not None and run.is_first:
+        if failure is not None and run.is_first and run.is_idempotent:
             self._send(daemon, route, False)
 
     # Words
@@ -342,7 +418,9 @@
         self._at(self.now + TICK_S, self._tick)
         for server in (*self._up(self.old), *self._up(self.new)):
             is_new = server.member.software == NEW
-            every = TELL_NEW_S if is_new else TELL_BEFORE_S
+            current = self._gate_of(server).current_by_service.get(SERVICE)
+            is_awaited = current is not None and current.closing is Closing.CLOSED
+            every = TELL_NEW_S if is_new or is_awaited else TELL_BEFORE_S
             if self.now - server.sent_at >= every:
                 server.sent_at = self.now
                 self._send_tally(server)
@@ -352,7 +430,9 @@
 
     def _send_tally(self, server: _Server) -> None:
         software = server.member.software
-        sent = Tally(SERVICE, 0, software, dict(server.counts_by_route))
+        closed = exposure.closed_step(self._gate_of(server), SERVICE, software)
+        counts = dict(server.counts_by_route)
+        sent = Tally(SERVICE, 0, software, counts, closed, server.unsafe if closed else 0)
         key = server_key(server.member)
         for leader in self.leaders:
             if self.rng.random() >= LOST:
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -69,6 +69,24 @@
         ),
         ROLLOUTS,
     ),
+    Mutant(
+        "requests that are not idempotent wait rather than go to servers that are about to stop",
+        "hornbeamgw/core/exposure.py",
+        (("    return Arm.BEFORE if is_bad else Arm.WAIT", "    return Arm.BEFORE"),),
+        ROLLOUTS,
+    ),
+    Mutant(
+        "a closed server runs no further request that is not idempotent",
+        "hornbeamgw/daemon/gate.py",
+        (("        if not call.idempotent and self._is_closed():", "        if False:"),),
+        ROLLOUTS,
+    ),
+    Mutant(
+        "an order is completed only once servers of before are drained",
+        "hornbeamgw/core/rollout.py",
+        (("    return tally.closed_step == state.standing.step", "    return True"),),
+        ROLLOUTS,
+    ),
     Mutant(
         "a version without an order waits for one",
         "hornbeamgw/core/exposure.py",
