Let the callers of the live rollouts outlive an answer that breaks off

The daemons that had started again had their version and all three servers, and had got no call.

Such an answer now counts as a call that failed (status 0), as a connection that breaks does. This is stricter: before, callers that had ended could hide failed calls.

--- a/features/steps/rollouts_live.py
+++ b/features/steps/rollouts_live.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 
+import h11
 import msgspec
 from behave import given, then, when
 
@@ -73,7 +74,7 @@
                 answer = await client.request("GET", "/0/", headers)
                 context.statuses.append(answer.status)
                 await asyncio.sleep(PAUSE_S)
-        except (OSError, TimeoutError, ConnectionLost):
+        except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError):
             context.statuses.append(0)
             await asyncio.sleep(PAUSE_S)
         finally:
