--- a/features/steps/rollouts_live.py
+++ b/features/steps/rollouts_live.py
@@ -6,6 +6,7 @@
 import base64
 from typing import NamedTuple
 
+import h11
 import msgspec
 from behave import given, then, when
 
@@ -91,7 +92,7 @@
                 answer = await client.request("GET", "/0/", headers)
                 context.statuses.append(answer.status)
                 await asyncio.sleep(PAUSE_S)
-        except (OSError, TimeoutError, ConnectionLost):
+        except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError):
             context.statuses.append(0)
             await asyncio.sleep(PAUSE_S)
         finally:
