--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -34,6 +34,8 @@
 SERVERS = "features/servers.feature"
 QUEUEING = "features/queueing.feature"
 BUDGET = "features/budget.feature"
+STOPPING = "features/stopping.feature"
+OVERLAPS = "features/stopping_overlaps.feature"
 
 
 class Mutant(NamedTuple):
@@ -46,6 +48,47 @@
 
 
 MUTANTS = (
+    Mutant(
+        "answers go first that a daemon which stops waits for",
+        "hornbeamgw/daemon/gate_attempt.py",
+        (("    attempt.urgency.hurry(asyncio.get_running_loop().time())\n", ""),),
+        STOPPING,
+    ),
+    Mutant(
+        "urgent answers keep the order in which they became urgent",
+        "hornbeamgw/daemon/flow.py",
+        (("        self.since = min(self.since, now)", "        self.since = 0.0"),),
+        PACING,
+    ),
+    Mutant(
+        "what a daemon that stops has left to send is taken at once",
+        "hornbeamgw/daemon/attempts.py",
+        (("link.send(frames.Credit(attempt.number, BUFFER_BYTES))", "pass"),),
+        STOPPING,
+    ),
+    Mutant(
+        "a daemon that stops takes on nothing that could outlast it",
+        "hornbeamgw/core/stopping.py",
+        (
+            (
+                "    return is_early and now + GUESS_FACTOR * expected <= stop.ends_at",
+                "    return True",
+            ),
+        ),
+        STOPPING,
+    ),
+    Mutant(
+        "a daemon that stops ends once others have read what it sent",
+        "hornbeamgw/daemon/main.py",
+        (("        await self.peers.wait_read()\n", ""),),
+        OVERLAPS,
+    ),
+    Mutant(
+        "callers are told what became of calls that a daemon gives up as it ends",
+        "hornbeamgw/daemon/main.py",
+        (("            self.calls.give_up()\n", ""),),
+        OVERLAPS,
+    ),
     Mutant(
         "a version on trial gets no more than its part",
         "hornbeamgw/core/exposure.py",
