--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -191,7 +191,7 @@
                 call.current.events.put(Ending())
 
     def _refused_by_stop(self, call: Call, view: View, now: float) -> Failure | None:
-        """Refuse a call that could outlast this daemon; another one may be asked at once."""
+        """Refuse a call that could outlast this daemon."""
         if self._stop is None:
             return None
         traits, pacer = self._servers.traits_of(call), self._pacer
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -46,8 +46,8 @@
     read_body,
 )
 from hornbeamgw.daemon.peers import PeerServer
+from hornbeamgw.daemon.planned_stop import PlannedStop
 from hornbeamgw.daemon.presence import OwnRow
-from hornbeamgw.daemon.progress import MOST_TOLD
 from hornbeamgw.daemon.quarantine import Quarantine
 from hornbeamgw.daemon.reader import Reader
 from hornbeamgw.daemon.reload import Reloader
@@ -64,11 +64,6 @@
 REPORT_EVERY_S = 5.0
 CHECK_EVERY_S = 0.1
 ADOPT_CHECK_EVERY_S = 0.01
-GRACE_AFTER_DRAIN_S = 0.2
-DRAIN_CHECK_EVERY_S = 0.01
-# A request whose head has begun to arrive has so long to come whole.
-HEAD_GRACE_S = 0.5
-GIVE_UP_TIMEOUT_S = 0.15
 PORT_TRIES = 20
 CLAIMED_PORTS = (20_000, 32_000)  # Linux gives 32,768 and above to outgoing connections
 BYTES_PER_MEGABIT = 125_000
@@ -299,64 +294,21 @@
             self._cut.set()
 
     async def run(self) -> int:
-        """Run until told to stop, then drain; return the exit code."""
+        """Run until told to stop, then stop by plan; return the exit code."""
         await self._stop.wait()
-        loop, settings = asyncio.get_running_loop(), self.settings
-        stop = stopping.plan(
-            loop.time(),
+        settings = self.settings
+        plan = stopping.plan(
+            asyncio.get_running_loop().time(),
             settings.calls_leave_after,
             settings.calls_drain_limit,
             settings.calls_grace,
         )
-        leave_after = stop.leaves_at - stop.began_at
-        told = {"leave_after": leave_after, "end_after": stop.ends_at - stop.began_at}
-        log.info("daemon stops", extra=told)
-        self.calls.stop(stop)
-        self.gates.begin_stop(stop)
-        cut = asyncio.create_task(self._cut.wait())
-        if leave_after:
-            await asyncio.wait([cut], timeout=leave_after)
-        self.gates.stop()
-        drained = asyncio.create_task(self._wait_until_idle())
-        left = stop.ends_at - loop.time()
-        await asyncio.wait([drained, cut], timeout=left, return_when=asyncio.FIRST_COMPLETED)
-        cut_off = [] if drained.done() else self._cut_off()
-        if cut_off:
-            self.calls.give_up()
-            await asyncio.wait([drained], timeout=GIVE_UP_TIMEOUT_S)
+        stop = PlannedStop(plan, self.calls, self.gates, self.callers, self.peers)
+        cut_off = await stop.run(self._cut)
         self.control.leave()
-        if cut_off:
-            log.error("stopped with work in flight", extra={"cut_off": cut_off})
         await self._close()
         return EXIT_CUT_OFF if cut_off else EXIT_OK
 
-    async def _wait_until_idle(self) -> None:
-        await asyncio.sleep(GRACE_AFTER_DRAIN_S)
-        await self.gates.wait_idle()
-        self.callers.stop_accepting()
-        loop = asyncio.get_running_loop()
-        heads_until = loop.time() + HEAD_GRACE_S
-        while self.callers.connections:
-            self.callers.close_idle(with_input=loop.time() >= heads_until)
-            await asyncio.sleep(DRAIN_CHECK_EVERY_S)
-        await self.gates.wait_idle()
-        # What a process has written is lost with it as long as the sockets have not taken it, and
-        # a link that is closed may be reset before the other side has read what they took.
-        while self.callers.unsent():
-            await asyncio.sleep(DRAIN_CHECK_EVERY_S)
-        await self.peers.wait_read()
-
-    def _cut_off(self) -> list[str]:
-        now = asyncio.get_running_loop().time()
-        for taken_from, found in (
-            ("caller", self.calls.unfinished(now)),
-            ("daemon", self.gates.unfinished(now)),
-        ):
-            for told in found[:MOST_TOLD]:
-                extra = {"taken_from": taken_from, **told._asdict()}
-                log.warning("cut off by the stop", extra=extra)
-        return [*self.gates.cut_off(), f"{len(self.callers.connections)} connections of callers"]
-
     async def _close(self) -> None:
         self.callers.abort()
         self.links.close()
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -79,14 +79,14 @@
     ),
     Mutant(
         "a daemon that stops ends once others have read what it sent",
-        "hornbeamgw/daemon/main.py",
-        (("        await self.peers.wait_read()\n", ""),),
+        "hornbeamgw/daemon/planned_stop.py",
+        (("        await self._peers.wait_read()\n", ""),),
         OVERLAPS,
     ),
     Mutant(
         "callers are told what became of calls that a daemon gives up as it ends",
-        "hornbeamgw/daemon/main.py",
-        (("            self.calls.give_up()\n", ""),),
+        "hornbeamgw/daemon/planned_stop.py",
+        (("        self._calls.give_up()\n", ""),),
         OVERLAPS,
     ),
     Mutant(
