--- a/properties/planned_load.py
+++ b/properties/planned_load.py
@@ -26,7 +26,7 @@
 
 # What a caller waits for beyond its deadline: answers that have begun arrive also when late.
 PATIENCE_S = 4.0
-# As in the users' grown deployments: drawing packs of 280 KB, the largest of 1.7 MB.
+# Drawing packs of 280 KB on average, the largest of 1.7 MB.
 MEAN_LARGE_BYTES = 280_000
 LEAST_LARGE_BYTES = 20_000
 MOST_LARGE_BYTES = 1_700_000
