Keep seed 19 of the planned soak, in which a daemon had to be killed

Cause, not traced: in seed 19 a daemon logged "stopped with work in flight" 5.21 s after SIGTERM and had not ended at 6 s, when it was killed. n = 1 of 14 runs of this seed, 13 of them trials; in one of the trials a stop ended at 6.03 s by itself, and there another daemon and the callers' process stood still for 0.7 s at the same time, so the processor may have been taken from all of them. That is not shown for the run in which the daemon was killed.

Seeds 1 to 24 all break promises on the code as it is (227 stops, 50,195 requests): 191 answers cut midway, 165 requests cut after they were passed on, 132 exit codes other than 0. No request ran twice, none was told "not run" and ran.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -29,6 +29,7 @@
     Examples:
       | seconds | seed |
       | 15      | 1    |
+      | 15      | 19   |
 
   Scenario Outline: Of requests that end at a planned stop, the soak counts those that were lost
     Given a daemon that was told to stop at 100 s and ended at 106 s
