--- a/hornbeamgw/core/rollout.py
+++ b/hornbeamgw/core/rollout.py
@@ -46,8 +46,7 @@
 # are still at work at the servers of before when those are stopped.
 MOVES = ((1.1, 1000), (0.5, 500), (0.2, 200), (0.0, 0))
 # Requests that are not idempotent are kept from the servers of before for so long (s) ahead of the
-# decision, or this part of a short order. With what is left from there to the deadline it outlasts
-# work of 2 s, which callers with a deadline of 2.3 s may wait for.
+# decision, or this part of a short order. What is left from there to the deadline comes to it.
 CLOSES_S = 1.5
 CLOSES_PART = 0.15
 # This part of the margin is left when an order is completed though such requests still run.
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -75,7 +75,7 @@
 NOT_READY_RETRY_MS = 1000
 NO_ENDPOINT_RETRY_MS = 200
 STOPPING_RETRY_MS = 20
-# A link takes 3 ms between data centres.
+# The answer to a cancel takes a round trip.
 CANCEL_TIMEOUT_S = 0.1
 MAX_RETRY_BUDGET = 10
 # A refusal by a daemon beside a backend server costs nothing there, so others may be asked;
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -253,7 +253,9 @@
             self._send_failure(attempt, failure)
             return
         refusal = self.quarantine.refusal(call.fingerprint) or self._apart(call.fingerprint)
-        if self.stop_plan and not self.exchange.may_send(link, call.route, self.stop_plan):
+        if self.stop_plan is not None and not self.exchange.may_send(
+            link, call.route, self.stop_plan
+        ):
             detail = "this daemon would end before its answer has left"
             refusal = not_run(Reason.DRAINING, detail, RETRY_AFTER_NOT_READY_MS)
         if refusal is not None:
