Break the connection on which a stand-in server falls

Trace of a failing run: the request was cleared ("request cleared" with its fingerprint) 85 ms after the first fall, so a server had answered it. A stand-in that falls breaks the connections that it has; one that is being accepted at that moment outlives it, and a request on it found the server fallen already and was answered. The check, its times and bounds are as they were.

--- a/hornbeamgw/testing/backend.py
+++ b/hornbeamgw/testing/backend.py
@@ -164,6 +164,9 @@
             if body and body == self.options.falls_under:
                 await asyncio.sleep(self.options.falls_after)
                 self.fall()
+                # A connection that was being accepted as the server fell is not broken with it.
+                connection.abort()
+                raise ConnectionLost
             work = float(query.get("work_ms", self.options.work * 1000)) / 1000
             if work:
                 await asyncio.sleep(work)
