Keep the logs of a planned soak that broke a promise

The planned soak prints the lines that name a broken call and deletes the rest with its fleet, so that a seed that fails rarely can't be traced from what it leaves. A third argument (LOGS=FOLDER with make soak-planned) keeps the whole folder of logs and settings of such a seed.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 SEED ?= 1
 MINUTES ?= 5
 SEEDS ?= 1-5
+SECONDS ?= 15
+LOGS ?=
 
 .PHONY: setup demo test lint bench soak soak-fleet soak-planned spec mutants clean
 
@@ -42,7 +44,7 @@
 	$(PYTHON) -m properties.fleet_soak $(SEEDS)
 
 soak-planned: setup
-	$(PYTHON) -m properties.planned_soak $(SEEDS)
+	$(PYTHON) -m properties.planned_soak $(SEEDS) $(SECONDS) $(LOGS)
 
 spec: setup
 	command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
--- a/properties/planned_soak.py
+++ b/properties/planned_soak.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 import re
+import shutil
 import signal
 import sys
 from collections import Counter
@@ -349,10 +350,13 @@
     return Records(reports)
 
 
-async def run(seed: int, seconds: float, large: bool = True) -> Report:
+async def run(
+    seed: int, seconds: float, large: bool = True, logs_folder: Path | None = None
+) -> Report:
     """Run one seed for a time (s), and print what is known of each promise that it broke.
 
-    Callers have short calls alone, or large answers too, by which links are filled.
+    Callers have short calls alone, or large answers too, by which links are filled. The logs and
+    settings of a seed that broke a promise are copied to a folder of its own in `logs_folder`.
     """
     async with Fleet(f"planned-{seed}", _settings()) as fleet:
         indexes = range(NODES)
@@ -361,7 +365,10 @@
         answer = await request_json(fleet.nodes[0].admin, "POST", "/edits", _catalogue(seed))
         if not await fleet.wait_in_force(int(answer["version"]), CONVERGENCE_S):
             raise RuntimeError("the example catalogue is not in force everywhere")
-        return await _carry_out(fleet, seed, seconds, large)
+        report = await _carry_out(fleet, seed, seconds, large)
+        if logs_folder is not None and report.broken:
+            shutil.copytree(fleet.folder, logs_folder / fleet.name, dirs_exist_ok=True)
+        return report
 
 
 async def _carry_out(fleet: Fleet, seed: int, seconds: float, large: bool) -> Report:
@@ -403,9 +410,10 @@
     """Run seeds one after the other; exit code 1 where one broke a promise."""
     text = sys.argv[1] if len(sys.argv) > 1 else "1-5"
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else SECONDS
+    logs_folder = Path(sys.argv[3]) if len(sys.argv) > 3 else None
     failed = 0
     for seed in seeds_of(text):
-        report = asyncio.run(run(seed, seconds))
+        report = asyncio.run(run(seed, seconds, logs_folder=logs_folder))
         print(msgspec.json.encode(report._asdict()).decode(), flush=True)
         failed += bool(report.broken)
     print(f"{len(seeds_of(text)) - failed} passed, {failed} failed")
