Contain errors in steps that many requests share

What callers saw: an error while one frame was handled closed the link, and all calls on it ended with it ("may have run" where they may not be repeated).

Cause, as a class: the callback of a link, the periodic checks (link liveness, expiry of queued calls, quarantine, size of the fleet), the failure detector with its datagrams, the watch on the settings file, the leader of rollouts, the tallies and the poll of the catalogue's source each ran their step bare. asyncio closes a connection whose callback raises, and a task that raises is over; so one error took away what others share, the checks for as long as the daemon ran.

Mend: daemon/containment.py. A step that raises is logged with its name and skipped; frames and steps after it are handled. A call whose admission raises is refused with what admission knows of it: not run, and fenced, or may have run for the copy of one that ran; its slot is freed. A slot is taken only after what can raise has been computed.

Evidence: features/containment.feature, five scenarios, each fails on the code before ("the link was lost" twice, the periodic task finished with the error, no datagram sent after one that doesn't encode, the settings watch over after a file that is not UTF-8) and passes now.

--- /dev/null
+++ b/features/containment.feature
@@ -0,0 +1,38 @@
+Feature: An error ends the request that raised it, and nothing that others share
+
+  # Guards against an error at the gate that closed a link and ended every call on it.
+  Scenario: A call whose admission raises an error is refused, and other calls on its link are answered
+    Given a daemon whose gate raises an error on calls of route "faulty", with a link to it
+    And a call of route "sound" runs there
+    When a call of route "faulty" is sent on the same link
+    Then the call of route "faulty" is refused as not run
+    And the call of route "sound" is answered on the same link
+    And the gate runs no call
+
+  # Guards against an answer "not run" on a copy of a request that runs.
+  Scenario: A duplicate whose admission raises an error is not said to be not run
+    Given a daemon whose gate raises an error on calls of route "faulty", with a link to it
+    And a call of route "sound" runs there
+    When the call is sent once more, and reading the catalogue raises an error
+    Then the copy may have run
+    And the call of route "sound" is answered on the same link
+    And the gate runs no call
+
+  # Guards against periodic checks that stop for good at their first error.
+  Scenario: A periodic check that raises an error is called again, and so are those after it
+    Given two periodic checks, the first of which raises an error each time
+    When a few intervals have passed
+    Then both were called more than once
+
+  # Guards against a datagram that can't be encoded and ends the failure detector.
+  Scenario: A message that can't be sent keeps the daemon from sending no other one
+    Given two daemons that know each other
+    When one of them is made to send a number that does not fit into its message
+    Then both still probe each other
+
+  # Guards against a settings file that is not text and ends the watch on it.
+  Scenario: A settings file that is not valid text is kept out, and its mend is read
+    Given a daemon that watches its settings file
+    When the file is replaced by bytes that are not text
+    And the file is replaced by valid settings with another budget
+    Then the budget is that of the file
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -159,9 +159,9 @@
 
 
 def _start(state: AdmissionState, request: Request, now: float) -> Admitted:
+    queueing.record_start(state, request, now)
     state.running_by_attempt[request.attempt] = request
     state.started_by_attempt[request.attempt] = now
-    queueing.record_start(state, request, now)
     count = state.running_count_by_entry.get(request.entry, 0)
     state.running_count_by_entry[request.entry] = count + 1
     _record_status(state, request.attempt, AttemptStatus.RUNNING, now)
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -21,6 +21,7 @@
 from hornbeamgw.core.tally import Tally
 from hornbeamgw.core.versions import ArrivalPath, Origin, VersionState
 from hornbeamgw.daemon import codec, datagrams, frames
+from hornbeamgw.daemon.containment import contained
 from hornbeamgw.daemon.link import LinkLost, exchange
 from hornbeamgw.daemon.meter import Meter, TokenBucket
 
@@ -122,19 +123,23 @@
 
     def _execute(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
-            if isinstance(effect, node.Send):
-                self._send(effect)
-            elif isinstance(effect, node.StartPull):
-                self.spawn(self.pull(effect.source))
-            elif isinstance(effect, node.StartReconcile):
-                self.spawn(self._reconcile_once(effect.address))
-            elif isinstance(effect, node.WakeAt):
-                asyncio.get_running_loop().call_at(effect.at, self._check)
-            else:
-                self._handle_report(effect)
+            with contained(f"effect {type(effect).__name__}"):
+                self._execute_one(effect)
         self._log_member_changes()
         self._notify_member_reports()
 
+    def _execute_one(self, effect: Effect) -> None:
+        if isinstance(effect, node.Send):
+            self._send(effect)
+        elif isinstance(effect, node.StartPull):
+            self.spawn(self.pull(effect.source))
+        elif isinstance(effect, node.StartReconcile):
+            self.spawn(self._reconcile_once(effect.address))
+        elif isinstance(effect, node.WakeAt):
+            asyncio.get_running_loop().call_at(effect.at, self._check)
+        else:
+            self._handle_report(effect)
+
     def _notify_member_reports(self) -> None:
         while self.view.pending_reports:
             member = self.view.pending_reports.popleft()
@@ -251,10 +256,12 @@
         interval = self.view.timing.probe_interval
         await asyncio.sleep(self.rng.uniform(0, interval))
         while True:
-            self._execute(node.tick(self.node, _moment(), self.rng))
+            with contained("probe"):
+                self._execute(node.tick(self.node, _moment(), self.rng))
             for _ in range(CHECKS_PER_PROBE_INTERVAL):
                 await asyncio.sleep(interval / CHECKS_PER_PROBE_INTERVAL)
-                self._check()
+                with contained("membership check"):
+                    self._check()
 
     def note_era(self, era: int) -> None:
         """Process the store's era, a number that increases when acknowledged writes are lost."""
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -267,10 +267,40 @@
 
     def _on_call(self, link: Link, call: frames.Call) -> None:
         assert link.peer is not None
-        now = asyncio.get_running_loop().time()
         attempt_id = AttemptId(link.peer.member, link.peer.incarnation, call.attempt)
-        limits = self._limits(call.entry) or (call.limits if call.limits.slots else None)
         attempt = GateAttempt(attempt_id, link, call)
+        try:
+            self._decide(attempt)
+        except Exception:
+            log.exception("call failed at the gate", extra={"call_id": call.call_id})
+            self.counts["refused.error"] += 1
+            self._refuse_after_error(attempt)
+
+    def _refuse_after_error(self, attempt: GateAttempt) -> None:
+        """Refuse a call whose admission raised an error, unless it was started all the same.
+
+        It may be a duplicate of an attempt that runs or has run, which keeps its slot and verdict.
+        """
+        if attempt.task is not None:
+            return
+        now = asyncio.get_running_loop().time()
+        decisions: list[Decision] = []
+        is_registered = self._attempts.get(attempt.id) is attempt
+        if is_registered and attempt.id in self.state.running_by_attempt:
+            decisions = admission.finish(self.state, attempt.id, now, now, was_processed=False)
+        verdict = admission.resolve(self.state, attempt.id, 0.0, now)
+        if is_registered:
+            self._remove(attempt)
+        retry_after_ms = RETRY_AFTER_NOT_READY_MS if verdict is Verdict.NOT_RUN else 0
+        failure = Failure(verdict, Reason.NOT_READY, "an error of the gate", retry_after_ms)
+        attempt.link.send(frames.Refusal(attempt.call.attempt, failure, 0))
+        self._apply(decisions)
+
+    def _decide(self, attempt: GateAttempt) -> None:
+        """Admit, queue or refuse a call that has just arrived."""
+        link, call, attempt_id = attempt.link, attempt.call, attempt.id
+        now = asyncio.get_running_loop().time()
+        limits = self._limits(call.entry) or (call.limits if call.limits.slots else None)
         if limits is None:
             failure = not_run(Reason.NOT_READY, f"entry {call.entry}", RETRY_AFTER_NOT_READY_MS)
             self._send_failure(attempt, failure)
--- a/hornbeamgw/daemon/link.py
+++ b/hornbeamgw/daemon/link.py
@@ -10,6 +10,7 @@
 from hornbeamgw.core.options import split_address
 from hornbeamgw.daemon import codec, frames
 from hornbeamgw.daemon.compression import Compressor, Decompressor
+from hornbeamgw.daemon.containment import contained
 
 # Heartbeats are answered within milliseconds, and TCP retransmits a lost packet after 0.2 s. A link
 # becomes suspect only after more than one retransmission.
@@ -146,7 +147,8 @@
             if frame.expects_reply:
                 self.send(frames.Heartbeat(False))
         else:
-            self._on_frame(self, frame)
+            with contained(f"frame {type(frame).__name__}"):
+                self._on_frame(self, frame)
 
     def _handle_hello(self, frame: frames.Frame) -> None:
         if not isinstance(frame, frames.Hello):
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -32,6 +32,7 @@
 from hornbeamgw.daemon.attempts import Links
 from hornbeamgw.daemon.calls import Calls, Identity, MeshView
 from hornbeamgw.daemon.committer import Committer
+from hornbeamgw.daemon.containment import run_every
 from hornbeamgw.daemon.control import Control
 from hornbeamgw.daemon.directory import Directory
 from hornbeamgw.daemon.flow import Pacer
@@ -238,7 +239,13 @@
         self.control.spawn(self.reader.join_loop())
         self.control.spawn(self.reader.floor_loop())
         self.control.spawn(self.reader.poll_loop())
-        self.control.spawn(self._check_loop())
+        checks = [
+            self._check_links,
+            self._expire_gates,
+            self._expire_quarantine,
+            self._note_members,
+        ]
+        self.control.spawn(run_every(CHECK_INTERVAL_S, checks))
         if self.leader is not None:
             self.reader.needs_short_watch = self.rollouts.has_undecided
             self.control.spawn(self.leader.run())
@@ -250,7 +257,8 @@
         if self.settings.statsd:
             from hornbeamgw.daemon.metrics import Metrics
 
-            self.control.spawn(self._report_loop(Metrics(self.settings.statsd)))
+            metrics = Metrics(self.settings.statsd)
+            self.control.spawn(run_every(STATSD_INTERVAL_S, [lambda: self._report(metrics)]))
         return addresses
 
     async def _on_ready_request(self, connection: HttpConnection, request: h11.Request) -> None:
@@ -266,29 +274,28 @@
             await asyncio.sleep(ADOPTION_POLL_INTERVAL_S)
         await registry.adopt(lambda name: self._snapshot().health_paths_by_service.get(name))
 
-    async def _check_loop(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            self.links.check(loop.time())
-            self.gates.expire(loop.time())
-            self.quarantine.expire(loop.time())
-            members = len(membership.reachable(self.control.view))
-            retry_budget.note_members(self.budget, members)
-            exposure.note_members(self.rollouts.state, members)
-
-    async def _report_loop(self, metrics: StatsdMetrics) -> None:
-        while True:
-            await asyncio.sleep(STATSD_INTERVAL_S)
-            meter = self.control.meter
-            counts = {f"control.out.{kind}": n for kind, n in meter.bytes_out.items()}
-            counts |= {f"control.in.{kind}": n for kind, n in meter.bytes_in.items()}
-            counts |= dict(self.calls.counts) | {
-                f"gate.{k}": n for k, n in self.gates.counts.items()
-            }
-            gauges = {"version": self.control.versions.snapshot.version}
-            gauges["members"] = len(membership.reachable(self.control.view))
-            metrics.report(counts, gauges)
+    def _check_links(self) -> None:
+        self.links.check(asyncio.get_running_loop().time())
+
+    def _expire_gates(self) -> None:
+        self.gates.expire(asyncio.get_running_loop().time())
+
+    def _expire_quarantine(self) -> None:
+        self.quarantine.expire(asyncio.get_running_loop().time())
+
+    def _note_members(self) -> None:
+        members = len(membership.reachable(self.control.view))
+        retry_budget.note_members(self.budget, members)
+        exposure.note_members(self.rollouts.state, members)
+
+    def _report(self, metrics: StatsdMetrics) -> None:
+        meter = self.control.meter
+        counts = {f"control.out.{kind}": n for kind, n in meter.bytes_out.items()}
+        counts |= {f"control.in.{kind}": n for kind, n in meter.bytes_in.items()}
+        counts |= dict(self.calls.counts) | {f"gate.{k}": n for k, n in self.gates.counts.items()}
+        gauges = {"version": self.control.versions.snapshot.version}
+        gauges["members"] = len(membership.reachable(self.control.view))
+        metrics.report(counts, gauges)
 
     def apply(self, settings: Settings) -> None:
         """Apply the settings that can change while the daemon is running."""
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -173,11 +173,16 @@
             except PlatformError as error:
                 failures += 1
                 self._record_failure(error)
-                max_backoff = (
-                    POLL_BACKOFF_MAX_S if self._uses_short_watch() else SLOW_POLL_BACKOFF_MAX_S
-                )
-                ceiling = min(max_backoff, POLL_BACKOFF_S * 2**failures)
-                await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
+                await self._back_off(failures)
+            except Exception:
+                failures += 1
+                log.exception("unexpected error while following the source; retrying")
+                await self._back_off(failures)
+
+    async def _back_off(self, failures: int) -> None:
+        limit = POLL_BACKOFF_MAX_S if self._uses_short_watch() else SLOW_POLL_BACKOFF_MAX_S
+        ceiling = min(limit, POLL_BACKOFF_S * 2**failures)
+        await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
 
     def _min_total_readers(self) -> int:
         return MIN_TOTAL_READERS if self._source.head_includes_catalogue else 0
--- a/hornbeamgw/daemon/reload.py
+++ b/hornbeamgw/daemon/reload.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Callable
 from pathlib import Path
 
 from hornbeamgw.core.options import Settings, parse_settings
+from hornbeamgw.daemon.containment import run_every
 
 log = logging.getLogger(__name__)
 
@@ -43,18 +43,19 @@
 
     async def run(self) -> None:
         """Poll the file and reload it when it has changed."""
-        while True:
-            await asyncio.sleep(POLL_INTERVAL_S)
-            mtime_ns = self._read_mtime_ns()
-            if mtime_ns and mtime_ns != self._mtime_ns:
-                self._mtime_ns = mtime_ns
-                self.reload("the file has changed")
+        await run_every(POLL_INTERVAL_S, [self._reload_if_changed])
+
+    def _reload_if_changed(self) -> None:
+        mtime_ns = self._read_mtime_ns()
+        if mtime_ns and mtime_ns != self._mtime_ns:
+            self._mtime_ns = mtime_ns
+            self.reload("the file has changed")
 
     def reload(self, why: str) -> None:
         """Reload the file; keep the settings in force if it is invalid. `why` is logged."""
         try:
             text = self._path.read_text(encoding="utf-8")
-        except OSError as error:
+        except (OSError, UnicodeDecodeError) as error:
             log.error(
                 "settings file cannot be read; keeping the settings in force",
                 extra={"error": str(error)},
--- a/hornbeamgw/daemon/rollouts/leader.py
+++ b/hornbeamgw/daemon/rollouts/leader.py
@@ -16,6 +16,7 @@
 from hornbeamgw.core.rollout import LEADER_LAG_S, FleetView, Order, RolloutState, Step
 from hornbeamgw.core.standing import Phase, RolloutStatus
 from hornbeamgw.core.tally import Tally
+from hornbeamgw.daemon.containment import contained
 from hornbeamgw.daemon.rollouts.orders import OrderRows
 from hornbeamgw.daemon.rollouts.rollouts import Rollouts
 from hornbeamgw.daemon.rollouts.statuses import OrderRevision, StatusRows
@@ -192,7 +193,8 @@
                 await self._has_work.wait()
                 continue
             for led_order in undecided:
-                self._lead(led_order.state)
+                with contained("rollout step"):
+                    self._lead(led_order.state)
             await asyncio.sleep(TICK_S)
 
     def _lead(self, state: RolloutState) -> None:
--- a/hornbeamgw/daemon/rollouts/tallies.py
+++ b/hornbeamgw/daemon/rollouts/tallies.py
@@ -7,6 +7,7 @@
 
 from hornbeamgw.core.standing import Closing
 from hornbeamgw.core.tally import Tally
+from hornbeamgw.daemon.containment import run_every
 from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.rollouts.rollouts import Rollouts
 
@@ -24,10 +25,10 @@
     """Send the changed tallies of servers whose service is being rolled out, until cancelled."""
     sent_by_server: dict[int, tuple[float, Tally]] = {}
     loop = asyncio.get_running_loop()
-    while True:
-        await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def send_changed() -> None:
         if not rollouts.has_undecided():
-            continue
+            return
         for tally in gates.tallies(loop.time()):
             status = rollouts.undecided(tally.service)
             if status is None:
@@ -42,3 +43,5 @@
             if (tally != last or must_resend) and loop.time() - sent_at >= interval_s * 0.9:
                 sent_by_server[tally.server] = loop.time(), tally
                 send(leaders_of(tally.service), tally)
+
+    await run_every(CHECK_INTERVAL_S, [send_changed])
