Accept no more large answers than the link can send during a stop

What callers saw: on links that were full before SIGTERM a daemon ended by its limit with answers on their way (exit code 3); their callers got half an answer.

Evidence: the logs could not tell a link that was overfull (1) from answers of callers that go before those owed to other daemons (2) and from a pacer that wakes late and leaves the link idle (3).

Cause: at the gate a call is admitted by the bytes owed to other daemons, not by those owed to callers, which share the link; the callers' daemon accepted calls whatever its link owed; and an answer that was promised counted on neither side until it arrived.

Mend: one backlog of a link: bytes to other daemons, to callers, and the expected bytes of what was accepted and has not arrived. Gate and callers' daemon refuse a large answer, "not run" and when to come back, if the backlog would take more than half a stop to send (2.8 s for a grace of 6 s); outlooks say so as well. The first answer of a route sets its expected size at the callers' daemon, which took some 20 answers before. The lines "daemon is stopping" and "daemon stopped with requests in flight" give what the link has to send.

Two scenarios in stopping.feature, each side of the link, fail on the code before (answers cut midway) and pass now.

--- a/features/steps/stopping.py
+++ b/features/steps/stopping.py
@@ -6,6 +6,8 @@
 import socket
 from typing import NamedTuple
 
+import h11
+import msgspec
 from behave import given, then, when
 from calls import BODIES, route
 
@@ -341,3 +343,78 @@
 def planned(context, leaves, ends):
     found = round(context.stop.leaves_at, 3), round(context.stop.ends_at, 3)
     assert found == (leaves, ends), context.stop
+
+
+@given(
+    "a server beside a daemon with a link of {width:g} Mbit/s that stops within {seconds:d}"
+    " seconds, and one more daemon"
+)
+def narrow_beside_server(context, width, seconds):
+    start(context, [("roster", {"bandwidth": width, **stopping_within(float(seconds))}), ("", {})])
+
+
+@given(
+    "a server beside a daemon with a link of {wide:g} Mbit/s, and one more daemon with one of"
+    " {width:g} that stops within {seconds:d} seconds"
+)
+def narrow_beside_callers(context, wide, width, seconds):
+    narrow = {"bandwidth": width, **stopping_within(float(seconds))}
+    start(context, [("roster", {"bandwidth": wide}), ("", narrow)])
+
+
+async def whole_or_none(context, target, call_id):
+    """Ask the second daemon; return None where the connection was closed before the end."""
+    try:
+        return await ask(context, context.daemons[1], target, call_id)
+    except h11.RemoteProtocolError:
+        return None
+
+
+def ask_at_once_and_stop(context, count, kilobytes, stopped):
+    target = f"/rosters?size={kilobytes * 1000}"
+
+    async def run():
+        # Sizes are expected by the answers before.
+        assert await ask(context, context.daemons[1], target, "first") is not None
+        asking = [whole_or_none(context, target, f"large-{n}") for n in range(count)]
+        context.asking = asyncio.gather(*asking)
+        await asyncio.sleep(ASKED_BEFORE_S)
+        stopped.on_signal()
+        context.code = await stopped.run()
+        context.responses = await asyncio.wait_for(context.asking, LIMIT_S)
+
+    context.size = kilobytes * 1000
+    context.runner.run(run())
+
+
+@when(
+    "{count:d} callers of the other ask for {kilobytes:d} KB at once,"
+    " and a moment later the first is told to stop"
+)
+def many_ask_and_first_stops(context, count, kilobytes):
+    ask_at_once_and_stop(context, count, kilobytes, context.daemons[0])
+
+
+@when(
+    "{count:d} callers of the other ask for {kilobytes:d} KB at once,"
+    " and a moment later theirs is told to stop"
+)
+def many_ask_and_theirs_stops(context, count, kilobytes):
+    ask_at_once_and_stop(context, count, kilobytes, context.daemons[1])
+
+
+@then("each of them gets a whole answer, or is told that it did not run and when to come back")
+def whole_or_refused(context):
+    for response in context.responses:
+        assert response is not None, "the connection was closed without a whole answer"
+        if response.status == 200:
+            assert len(response.body) == context.size, len(response.body)
+        else:
+            assert header(response.headers, heads.VERDICT) == b"not_run", response
+            assert float(header(response.headers, b"retry-after")) > 0, response
+
+
+@then('some of them get a whole answer, and some are told "{reason}"')
+def some_of_each(context, reason):
+    told = [msgspec.json.decode(r.body)["reason"] for r in context.responses if r.status != 200]
+    assert reason in told and len(told) < len(context.responses), told
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -82,3 +82,19 @@
       | 1.7   | 3.5   | 6     | 1.7    | 5.2  |
       | 1.7   | 30    | 3     | 1.0    | 2.65 |
       | 1.7   | 30    | 0.3   | 0.1    | 0.15 |
+
+  # Guards against a link that had more to send before a stop than it can send during one.
+  Scenario: The daemon beside a server accepts no more large answers than it can send while it stops
+    Given a server beside a daemon with a link of 2 Mbit/s that stops within 3 seconds, and one more daemon
+    When 30 callers of the other ask for 100 KB at once, and a moment later the first is told to stop
+    Then each of them gets a whole answer, or is told that it did not run and when to come back
+    And some of them get a whole answer, and some are told "no_slot"
+    And the daemon that stopped has cut nothing off
+
+  # Guards against a daemon that accepts calls whose answers its link to callers can't carry.
+  Scenario: The daemon of the callers accepts no more large answers than it can send while it stops
+    Given a server beside a daemon with a link of 20 Mbit/s, and one more daemon with one of 2 that stops within 3 seconds
+    When 30 callers of the other ask for 100 KB at once, and a moment later theirs is told to stop
+    Then each of them gets a whole answer, or is told that it did not run and when to come back
+    And some of them get a whole answer, and some are told "no_slot"
+    And the daemon that stopped has cut nothing off
--- a/hornbeamgw/core/placement.py
+++ b/hornbeamgw/core/placement.py
@@ -65,7 +65,7 @@
     normal = service / max(load.slowness, 0.05)
     traits.deviation += TRAITS_SMOOTHING_FACTOR * (abs(normal - traits.service) - traits.deviation)
     traits.service += TRAITS_SMOOTHING_FACTOR * (normal - traits.service)
-    traits.size += TRAITS_SMOOTHING_FACTOR * (size - traits.size)
+    traits.size += (TRAITS_SMOOTHING_FACTOR if traits.size else 1.0) * (size - traits.size)
 
 
 def note_report(load: Load, free_slots: int, wait: float, now: float) -> None:
--- a/hornbeamgw/core/stopping.py
+++ b/hornbeamgw/core/stopping.py
@@ -22,6 +22,9 @@
 # Expected durations are multiplied by this factor to check whether they fit before the end of the
 # stop.
 ESTIMATE_SAFETY_FACTOR = 3
+# A daemon may be told to stop at any moment, so at all times it accepts large answers only up to
+# this ratio of what its link can send during a stop. Answers may be larger than expected.
+MAX_BACKLOG_RATIO = 0.5
 
 
 class Plan(NamedTuple):
@@ -46,6 +49,14 @@
     return Plan(now, leaves_at, ends_at)
 
 
+def max_backlog_seconds(leave_after: float, drain_limit: float, grace: float) -> float:
+    """Return the longest time (s) that the accepted answers of a daemon may take to send.
+
+    The durations are those of `plan`.
+    """
+    return MAX_BACKLOG_RATIO * plan(0.0, leave_after, drain_limit, grace).ends_at
+
+
 def may_send(stop: Plan, transfer: float, now: float) -> bool:
     """Return whether an answer can be sent in time, given its expected transfer time (s)."""
     return now + ESTIMATE_SAFETY_FACTOR * transfer <= stop.ends_at
--- a/hornbeamgw/core/transfers.py
+++ b/hornbeamgw/core/transfers.py
@@ -26,6 +26,11 @@
     state.sizes_by_route[route] = known + SIZE_SMOOTHING_FACTOR * (size - known)
 
 
+def expected_size(state: TransferState, route: str) -> float:
+    """Return the expected size in bytes of a route's answer, 0 before the first one."""
+    return state.sizes_by_route.get(route, 0.0)
+
+
 def expected_time(state: TransferState, route: str, pending: int, rate: float) -> float:
     """Return the expected transfer time of an answer in seconds.
 
@@ -43,10 +48,10 @@
     rate : float
         Send rate of the link in bytes/s; 0 if unlimited.
     """
-    return transfer_time(state.sizes_by_route.get(route, 0.0), pending, rate)
+    return transfer_time(expected_size(state, route), pending, rate)
 
 
-def transfer_time(size: float, pending: int, rate: float) -> float:
+def transfer_time(size: float, pending: float, rate: float) -> float:
     """Return the transfer time in seconds of an answer of `size` bytes.
 
     `pending` and `rate` are as for `expected_time`.
@@ -54,3 +59,24 @@
     if rate <= 0 or size <= PART_MIN_BYTES:
         return 0.0
     return (size + pending) / rate
+
+
+def wait_for_room(size: float, backlog: float, rate: float, max_backlog_s: float) -> float:
+    """Return the time in seconds until an answer may be accepted, 0 if it may be now.
+
+    With it, all accepted answers take at most `max_backlog_s` seconds to send. An answer that takes
+    longer by itself is accepted if the link has nothing else to send.
+
+    Parameters
+    ----------
+    size : float
+        Expected size of the answer in bytes.
+    backlog : float
+        Bytes of the answers accepted before that are still to be sent.
+    rate : float
+        Send rate of the link in bytes/s; 0 if unlimited.
+    max_backlog_s : float
+        Limit in seconds; may be infinite.
+    """
+    excess = transfer_time(size, backlog, rate) - max_backlog_s
+    return max(0.0, min(excess, backlog / rate)) if rate > 0 else 0.0
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -20,7 +20,7 @@
 from hornbeamgw.core.verdict import Failure, Verdict
 from hornbeamgw.daemon import frames, heads
 from hornbeamgw.daemon.attempts import Attempt
-from hornbeamgw.daemon.flow import Urgency
+from hornbeamgw.daemon.flow import Promise, Urgency
 from hornbeamgw.daemon.http1 import Headers, end_to_end_headers, header
 from hornbeamgw.daemon.http_server import BadRequest
 from hornbeamgw.daemon.progress import Progress
@@ -100,6 +100,8 @@
         Whether the rest of the request body is being sent, so that it can't be sent again.
     tried : list of str
         Keys of the servers that are not to be chosen again.
+    promise : Promise or None
+        Expected bytes of the answer; None before the call is accepted.
     """
 
     def __init__(
@@ -143,6 +145,7 @@
         self.fingerprint = UNKNOWN
         self.progress = Progress(0.0)
         self.urgency = Urgency()
+        self.promise: Promise | None = None
 
 
 def objective_left_ms(call: Call, now: float) -> int:
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -55,7 +55,7 @@
     placement_record,
 )
 from hornbeamgw.daemon.failures import send_failure
-from hornbeamgw.daemon.flow import Pacer
+from hornbeamgw.daemon.flow import Pacer, Promise
 from hornbeamgw.daemon.histograms import Histograms
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, header
 from hornbeamgw.daemon.http_server import BadRequest
@@ -171,12 +171,27 @@
             retry_budget.note_request(self._budget, call.service, started, priority)
             retry_ratio = self._retry_ratio()
             retry_budget.note_nested_retry(self._budget, call.service, retry_ratio, started)
-            call = self._refusal_while_stopping(call, view, started) or call
+            call = (
+                self._refusal_while_stopping(call, view, started)
+                or self._backlog_refusal(call)
+                or call
+            )
         if isinstance(call, Failure):
             self.counts[f"failed.{call.reason}"] += 1
             log_refused(call_id, call, view.snapshot.version)
             self._fail(connection, call, call_id)
             return
+        call.promise = Promise(self._pacer, self._servers.traits_of(call).size)
+        try:
+            await self._handle(connection, call, view, started)
+        finally:
+            call.promise.settle()
+
+    async def _handle(
+        self, connection: HttpConnection, call: Call, view: MeshView, started: float
+    ) -> None:
+        """Read the rest of an accepted call, carry it out, and answer or fail it."""
+        loop = asyncio.get_running_loop()
         send_continue(connection)
         await read_body(connection, call, self._replay_limit)
         call.fingerprint = fingerprint_of_call(call, self._dialect)
@@ -200,7 +215,7 @@
         log_end(call, failure, elapsed, view.snapshot.version)
         if failure is not None:
             self.counts[f"failed.{failure.reason}"] += 1
-            self._fail(connection, failure, call_id)
+            self._fail(connection, failure, call.call_id)
 
     def stop(self, plan: stopping.Plan) -> None:
         """Close connections after their current answers, which are requested with priority."""
@@ -233,6 +248,18 @@
             return None
         return not_run(Reason.DRAINING, "this daemon stops", STOPPING_RETRY_MS)
 
+    def _backlog_refusal(self, call: Call) -> Failure | None:
+        """Return a refusal if this VM's link could not send the answer before a stop ends."""
+        size = self._servers.traits_of(call).size
+        wait = self._pacer.wait_for_room(size)
+        if not wait:
+            return None
+        self.counts["refused.backlog"] += 1
+        # Callers that come back earlier than it takes to send one answer would find no room again.
+        wait_ms = round(1000 * max(wait, size / self._pacer.rate))
+        detail = "the link of this daemon has too much to send"
+        return not_run(Reason.NO_SLOT, detail, self._spread(wait_ms))
+
     def unfinished(self, now: float) -> list[Unfinished]:
         """Return the calls that are being handled."""
         return [unfinished(call.call_id, call.progress, now) for call in self._active_calls]
@@ -317,9 +344,12 @@
         """Add a randomised retry delay to the failure of a request that did not run."""
         if failure.verdict is not Verdict.NOT_RUN or not call.retry_after_ms:
             return failure
+        return failure._replace(retry_after_ms=self._spread(call.retry_after_ms))
+
+    def _spread(self, retry_after_ms: int) -> int:
+        """Return a retry delay in ms that is lengthened at random."""
         spread = self._rng.uniform(1, 1 + RETRY_AFTER_SPREAD_RATIO)
-        wait = max(RETRY_AFTER_MIN_MS, round(call.retry_after_ms * spread))
-        return failure._replace(retry_after_ms=wait)
+        return max(RETRY_AFTER_MIN_MS, round(retry_after_ms * spread))
 
     def _retry(self, call: Call, failure: Failure, now: float) -> retrying.Retry | None:
         """Return a retry if the call, the route and the retry budget of the fleet allow one."""
@@ -502,6 +532,8 @@
     async def _relay(
         self, connection: HttpConnection, call: Call, attempt: Attempt, reply: frames.Reply
     ) -> None:
+        if call.promise is not None:
+            call.promise.settle()
         try:
             await relay.send_answer(connection, call, attempt, reply, self.draining, self._pacer)
         except (ConnectionLost, h11.LocalProtocolError) as error:
--- a/hornbeamgw/daemon/flow.py
+++ b/hornbeamgw/daemon/flow.py
@@ -8,7 +8,7 @@
 from collections import deque
 from typing import Generic, NamedTuple, TypeVar
 
-from hornbeamgw.core import pacing
+from hornbeamgw.core import pacing, transfers
 from hornbeamgw.core.pacing import LinkState
 
 T = TypeVar("T")
@@ -76,6 +76,21 @@
         self.since = min(self.since, now)
 
 
+class Promise:
+    """Expected bytes of an accepted answer; they count towards the backlog until it arrives."""
+
+    def __init__(self, pacer: Pacer, size: float) -> None:
+        """Add `size` bytes to the backlog."""
+        self._pacer = pacer
+        self._size = size
+        pacer.promised += size
+
+    def settle(self) -> None:
+        """Remove the bytes from the backlog; calls after the first one have no effect."""
+        self._pacer.promised -= self._size
+        self._size = 0.0
+
+
 class _Part(NamedTuple):
     urgent_since: float
     remaining: int
@@ -95,20 +110,35 @@
 
     `pending` and `pending_for_callers` count the bytes waiting to be sent to other daemons and to
     callers. Their owners update them, and admission uses them to estimate transfer times.
+    `promised` counts the expected bytes of answers that were accepted and have not arrived yet.
     """
 
-    def __init__(self, bandwidth: float = 0.0) -> None:
-        """Create a pacer for a link of a bandwidth in bytes/s; 0 (unknown) disables pacing."""
+    def __init__(self, bandwidth: float = 0.0, max_backlog_s: float = math.inf) -> None:
+        """Create a pacer for a link of a bandwidth in bytes/s; 0 (unknown) disables pacing.
+
+        Answers are accepted as long as all of them can be sent within `max_backlog_s` seconds.
+        """
+        self._max_backlog_s = max_backlog_s
         self._state = LinkState(bandwidth)
         self._waiting: list[_Part] = []
         self._order = 0
         self._timer: asyncio.TimerHandle | None = None
         self.pending = 0
         self.pending_for_callers = 0
+        self.promised = 0.0
         self.rate = self._state.rate
         self.part_bytes = pacing.part_bytes(self._state)
         self.window_bytes = pacing.window_bytes(self._state)
 
+    @property
+    def backlog(self) -> float:
+        """Return the bytes of all accepted answers that are still to be sent."""
+        return self.pending + self.pending_for_callers + self.promised
+
+    def wait_for_room(self, size: float) -> float:
+        """Return the time (s) until an answer of an expected size may be accepted, 0 if now."""
+        return transfers.wait_for_room(size, self.backlog, self.rate, self._max_backlog_s)
+
     def split(self, body: bytes) -> list[bytes]:
         """Split a body into parts that are sent one at a time."""
         size = self.part_bytes
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -26,6 +26,7 @@
     log_end,
     log_refused,
     request_priority,
+    settle,
     stop,
 )
 from hornbeamgw.daemon.link import Link
@@ -320,6 +321,7 @@
         ):
             detail = "this daemon would end before its answer has left"
             refusal = not_run(Reason.DRAINING, detail, RETRY_AFTER_NOT_READY_MS)
+        refusal = refusal or self._backlog_refusal(link, call.route)
         if refusal is not None:
             self.counts[f"refused.{refusal.reason}"] += 1
             self._send_failure(attempt, refusal)
@@ -336,12 +338,20 @@
         decision = admission.admit(self.state, request, call.service, now)
         if not isinstance(decision, Refused):
             self._attempts[attempt_id] = attempt
+            self.exchange.promise(attempt)
             self.idle.clear()
             self._apply([decision])
             return
         self.counts[f"refused.{decision.failure.reason}"] += 1
         self._send_failure(attempt, decision.failure)
 
+    def _backlog_refusal(self, link: Link, route: str) -> Failure | None:
+        """Return a refusal if this VM's link could not send the answer before a stop ends."""
+        wait = self.exchange.wait_for_room(link, route)
+        if not wait:
+            return None
+        return not_run(Reason.NO_SLOT, "the link has too much to send", reported_wait_ms(wait))
+
     def _isolation_refusal(self, fingerprint: int) -> Failure | None:
         """Return a refusal if a crash suspect would run at the same time as another one.
 
@@ -357,15 +367,26 @@
     def _outlook(self, link: Link, query: frames.OutlookRequest) -> frames.Outlook:
         assert link.peer is not None
         attempt_id = AttemptId(link.peer.member, link.peer.incarnation, 0)
-        return self._outlook_for(query, attempt_id, self.exchange.transfer_time(link, query.route))
+        transfer = self.exchange.transfer_time(link, query.route)
+        link_wait = self.exchange.wait_for_room(link, query.route)
+        return self._outlook_for(query, attempt_id, transfer, link_wait)
 
     def local_outlook(self, query: frames.OutlookRequest) -> frames.Outlook:
         """Return the outlook for a request of this daemon itself."""
-        return self._outlook_for(query, LOCAL_ATTEMPT_ID, 0.0)
+        return self._outlook_for(query, LOCAL_ATTEMPT_ID, 0.0, 0.0)
 
     def _outlook_for(
-        self, query: frames.OutlookRequest, attempt_id: AttemptId, transfer: float
+        self,
+        query: frames.OutlookRequest,
+        attempt_id: AttemptId,
+        transfer: float,
+        link_wait: float,
     ) -> frames.Outlook:
+        """Return the outlook for a request, given two durations in seconds.
+
+        `transfer` is the expected time to send its answer, and `link_wait` the time until this VM's
+        link has room for it.
+        """
         now = asyncio.get_running_loop().time()
         limits = self._limits(query.entry)
         if limits is None:
@@ -374,6 +395,9 @@
         if now < open_until:
             left_ms = round((open_until - now) * 1000)
             return frames.Outlook(query.number, False, 0, 0, max(1, left_ms))
+        if link_wait:
+            wait_ms = reported_wait_ms(link_wait)
+            return frames.Outlook(query.number, False, 0, wait_ms, max(1, wait_ms))
         self._refresh_reserved()
         request = admission_request(query, attempt_id, limits, transfer, now)
         outlook = admission.outlook(self.state, request, query.service, now)
@@ -417,6 +441,7 @@
                 self._remove(attempt)
 
     def _remove(self, attempt: GateAttempt) -> None:
+        settle(attempt)
         self._attempts.pop(attempt.id, None)
         if not self._attempts:
             self.idle.set()
--- a/hornbeamgw/daemon/gate_attempt.py
+++ b/hornbeamgw/daemon/gate_attempt.py
@@ -12,7 +12,7 @@
 from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.verdict import Failure, Verdict
 from hornbeamgw.daemon import frames
-from hornbeamgw.daemon.flow import Mailbox, Urgency
+from hornbeamgw.daemon.flow import Mailbox, Promise, Urgency
 from hornbeamgw.daemon.http1 import HttpConnection
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.outgoing import OutgoingAnswer
@@ -43,6 +43,8 @@
         Whether the outcome was counted already because the answer is overdue.
     is_answer_dropped : bool
         Whether the answer is not to be sent.
+    promise : Promise or None
+        Expected bytes of the answer; None before the attempt is accepted.
     """
 
     def __init__(self, attempt: AttemptId, link: Link, call: frames.Call) -> None:
@@ -63,6 +65,7 @@
         self.answered_at = 0.0
         self.is_counted = False
         self.is_answer_dropped = False
+        self.promise: Promise | None = None
         self._progress = Progress(self.arrived_at)
 
     @property
@@ -71,6 +74,12 @@
         return self._progress if self.outgoing is None else self.outgoing.progress
 
 
+def settle(attempt: GateAttempt) -> None:
+    """Stop counting the expected answer, since it has arrived or won't arrive."""
+    if attempt.promise is not None:
+        attempt.promise.settle()
+
+
 def request_priority(attempt: GateAttempt) -> None:
     """Send the rest of an attempt's answer before other answers."""
     attempt.urgency.mark_urgent(asyncio.get_running_loop().time())
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -113,7 +113,10 @@
         self.reader = Reader(self.control, source, rng, directory)
         self.leader = _leader(settings, self.control, platform, source, self.rollouts, self.reader)
         self.committer = _committer(self.control, self.reader, platform, rng)
-        pacer = Pacer(me.bandwidth)
+        max_backlog_s = stopping.max_backlog_seconds(
+            settings.calls_leave_after, settings.calls_drain_limit, settings.calls_grace
+        )
+        pacer = self.pacer = Pacer(me.bandwidth, max_backlog_s)
         self.gates = Gates(
             lambda: Gate(
                 self._snapshot,
@@ -321,7 +324,7 @@
             settings.calls_drain_limit,
             settings.calls_grace,
         )
-        stop = GracefulStop(plan, self.calls, self.gates, self.callers, self.peers)
+        stop = GracefulStop(plan, self.calls, self.gates, self.callers, self.peers, self.pacer)
         cancelled = await stop.run(self._abort)
         self.control.leave()
         await self._close()
--- a/hornbeamgw/daemon/planned_stop.py
+++ b/hornbeamgw/daemon/planned_stop.py
@@ -7,6 +7,7 @@
 
 from hornbeamgw.core.stopping import Plan
 from hornbeamgw.daemon.calls import Calls
+from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.http_server import HttpServer
 from hornbeamgw.daemon.peers import PeerServer
@@ -26,9 +27,16 @@
     """Steps of a stop, from the signal until all requests are completed or time has run out."""
 
     def __init__(
-        self, plan: Plan, calls: Calls, gates: Gates, callers: HttpServer, peers: PeerServer
+        self,
+        plan: Plan,
+        calls: Calls,
+        gates: Gates,
+        callers: HttpServer,
+        peers: PeerServer,
+        pacer: Pacer,
     ) -> None:
         """Store the plan and the components that have requests or connections to complete."""
+        self._pacer = pacer
         self._plan = plan
         self._calls = calls
         self._gates = gates
@@ -39,7 +47,8 @@
         """Stop, and return what was cancelled at the end of the plan or when `abort` was set."""
         loop, plan = asyncio.get_running_loop(), self._plan
         leave_after, end_after = plan.leaves_at - plan.began_at, plan.ends_at - plan.began_at
-        log.info("daemon is stopping", extra={"leave_after": leave_after, "end_after": end_after})
+        fields = {"leave_after": leave_after, "end_after": end_after, **self._backlog_fields()}
+        log.info("daemon is stopping", extra=fields)
         self._calls.stop(plan)
         self._gates.begin_stop(plan)
         aborted = asyncio.create_task(abort.wait())
@@ -56,7 +65,8 @@
             return []
         cancelled = self._cancel_unfinished()
         log.error(
-            "daemon stopped with requests in flight; cancelling them", extra={"cut_off": cancelled}
+            "daemon stopped with requests in flight; cancelling them",
+            extra={"cut_off": cancelled, **self._backlog_fields()},
         )
         self._calls.give_up()
         await asyncio.wait([drained], timeout=CANCEL_TIMEOUT_S)
@@ -78,6 +88,16 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         await self._peers.wait_until_read()
 
+    def _backlog_fields(self) -> dict[str, float]:
+        """Return how much the link has to send, for logging; `send_s` is how long that takes."""
+        pacer = self._pacer
+        return {
+            "to_daemons_bytes": pacer.pending,
+            "to_callers_bytes": pacer.pending_for_callers,
+            "promised_bytes": round(pacer.promised),
+            "send_s": round(pacer.backlog / pacer.rate, 2) if pacer.rate else 0.0,
+        }
+
     def _cancel_unfinished(self) -> list[str]:
         now = asyncio.get_running_loop().time()
         for taken_from, requests in (
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -20,8 +20,8 @@
 from hornbeamgw.daemon import frames, heads, server_answer
 from hornbeamgw.daemon.backend_pool import BackendPool, PoolFull
 from hornbeamgw.daemon.end_watch import CrashDetector
-from hornbeamgw.daemon.flow import WINDOW_BYTES, Pacer
-from hornbeamgw.daemon.gate_attempt import GateAttempt, pump_body
+from hornbeamgw.daemon.flow import WINDOW_BYTES, Pacer, Promise
+from hornbeamgw.daemon.gate_attempt import GateAttempt, pump_body, settle
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpConnection, end_to_end_headers, header
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.outgoing import OutgoingAnswer
@@ -93,6 +93,19 @@
         transfer = transfers.expected_time(self._transfers, route, pending, self._pacer.rate)
         return stopping.may_send(stop, transfer, asyncio.get_running_loop().time())
 
+    def _expected_size(self, link: Link, route: str) -> float:
+        """Return the expected bytes that the answer of a route adds to this VM's link."""
+        return 0.0 if link.peer == link.hello else transfers.expected_size(self._transfers, route)
+
+    def wait_for_room(self, link: Link, route: str) -> float:
+        """Return the time (s) until this VM's link has room for the answer of a route, 0 if now."""
+        return self._pacer.wait_for_room(self._expected_size(link, route))
+
+    def promise(self, attempt: GateAttempt) -> None:
+        """Count the expected answer of an accepted attempt until it arrives."""
+        size = self._expected_size(attempt.link, attempt.call.route)
+        attempt.promise = Promise(self._pacer, size)
+
     def load(self) -> tuple[int, int]:
         """Return the number of free slots and the expected wait of a new request in ms."""
         now = asyncio.get_running_loop().time()
@@ -177,6 +190,7 @@
         body, end = server_answer.read_available(connection)
         if failure is not None:
             return failure
+        settle(attempt)
         attempt.status = event.status_code
         attempt.answered_at = asyncio.get_running_loop().time()
         size = self._pacer.part_bytes
