Bound the number of doublings of a delay before it is a float

What operators would see: a store that is away for a quarter of an hour, and a daemon that never reads a version from it or writes its row again, until it is restarted; a server that breaks connections for that long, and calls that end without an answer.

Cause: delays grow as base * 2**failures and are limited afterwards. After 1,024 failures the power does not fit into a float: OverflowError, out of the poll of the source (0.4 to 0.8 s a try: after ten minutes), the daemon's own row, the directory, the floor, the status of an order, the ejection of a server and the circuit breaker.

Evidence: two of the three new rows in containment.feature raise OverflowError on the code before (3,000 failed writes on a clock that skips waits; 10,000 failed attempts) and pass now.

--- a/features/containment.feature
+++ b/features/containment.feature
@@ -36,3 +36,19 @@
     When the file is replaced by bytes that are not text
     And the file is replaced by valid settings with another budget
     Then the budget is that of the file
+
+  # Guards against a delay that overflows after a thousand failures and ends what retries.
+  Scenario: A daemon writes its row once the store is back, however long it was away
+    Given a store that fails the next 3000 writes, and a clock that skips what a daemon waits for
+    When a daemon writes its row
+    Then the store has that row
+
+  # Guards against a delay that overflows and ends the call of whoever asks a server in vain.
+  Scenario Outline: A server that fails for long is left alone for a while each time, and no error is raised
+    When <count> attempts at a server fail in a row
+    Then it is left alone for at most <seconds> seconds
+
+    Examples:
+      | count | seconds |
+      | 1     | 30      |
+      | 10000 | 30      |
--- a/features/steps/containment.py
+++ b/features/steps/containment.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import selectors
 import tempfile
 from pathlib import Path
 
 import msgspec
 from behave import given, then, when
 
-from hornbeamgw.core import node, slots
-from hornbeamgw.core.membership import Probe, ServerState
+from hornbeamgw.backends.base import PlatformError
+from hornbeamgw.core import balancing, breaker, node, slots
+from hornbeamgw.core.balancing import Load
+from hornbeamgw.core.breaker import BreakerState
+from hornbeamgw.core.membership import Member, Probe, ServerState
 from hornbeamgw.core.options import parse_settings
 from hornbeamgw.core.registration import Announcement
 from hornbeamgw.core.snapshot import EMPTY_SNAPSHOT, Limits
@@ -21,6 +25,7 @@
 from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
 from hornbeamgw.daemon.link import Link, dial
+from hornbeamgw.daemon.presence import OwnRow
 from hornbeamgw.daemon.reload import Reloader
 from hornbeamgw.testing.asker import HEAD
 from hornbeamgw.testing.local import LocalFleet, wait_for
@@ -278,3 +283,80 @@
         await wait_for(lambda: context.reloader.settings.budget_slack == 77)
 
     context.runner.run(wait())
+
+
+class SkippingSelector(selectors.SelectSelector):
+    """Add up the time (s) that a loop would wait for, and let it go on at once."""
+
+    def __init__(self):
+        """Start with nothing skipped."""
+        super().__init__()
+        self.skipped = 0.0
+
+    def select(self, timeout=None):
+        """Return what is ready now."""
+        self.skipped += timeout or 0.0
+        return super().select(0 if timeout else timeout)
+
+
+class SkippingLoop(asyncio.SelectorEventLoop):
+    """Loop whose clock runs ahead by all that it would have waited for."""
+
+    def __init__(self):
+        """Start at the time of the monotonic clock."""
+        self.selector = SkippingSelector()
+        super().__init__(self.selector)
+
+    def time(self):
+        """Return the time in s."""
+        return super().time() + self.selector.skipped
+
+
+class FailingRows:
+    """Fail some writes, then keep what is written."""
+
+    def __init__(self, failures):
+        """Take the number of writes that fail."""
+        self.failures, self.value = failures, None
+
+    async def write(self, table, key, value, expected=None):
+        """Fail, or keep the row."""
+        if self.failures:
+            self.failures -= 1
+            raise PlatformError("away")
+        self.value = value
+        return True
+
+
+@given(
+    "a store that fails the next {count:d} writes, and a clock that skips what a daemon waits for"
+)
+def store_away(context, count):
+    context.rows = FailingRows(count)
+
+
+@when("a daemon writes its row")
+def writes_row(context):
+    row = OwnRow(context.rows, Member("10.0.0.9:7400", "suva-1", "fiji", 1))
+    with asyncio.Runner(loop_factory=SkippingLoop) as runner:
+        runner.run(row.write())
+
+
+@then("the store has that row")
+def has_row(context):
+    assert context.rows.value is not None and not context.rows.failures, context.rows.failures
+
+
+@when("{count:d} attempts at a server fail in a row")
+def fail_in_a_row(context, count):
+    load, state, now = Load(0.0), BreakerState(), 0.0
+    for _ in range(count):
+        now = max(now, state.open_until)
+        balancing.note_failure(load, now)
+        breaker.note_early_loss(state, now)
+    context.left_alone = max(load.ejected_until, state.open_until) - now
+
+
+@then("it is left alone for at most {seconds:d} seconds")
+def left_alone(context, seconds):
+    assert context.left_alone <= seconds, context.left_alone
--- a/hornbeamgw/core/balancing.py
+++ b/hornbeamgw/core/balancing.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
+from hornbeamgw.core import backoff
 from hornbeamgw.core.membership import (
     Member,
     ServerState,
@@ -150,7 +151,7 @@
     """
     load.failures += 1
     if load.failures >= EJECT_FAILURE_THRESHOLD:
-        load.ejected_until = now + min(EJECT_MAX_S, EJECT_BASE_S * 2**load.ejections)
+        load.ejected_until = now + backoff.ceiling(EJECT_BASE_S, EJECT_MAX_S, load.ejections)
         load.ejections += 1
         load.failures = 0
 
--- a/hornbeamgw/core/breaker.py
+++ b/hornbeamgw/core/breaker.py
@@ -11,6 +11,8 @@
 
 from __future__ import annotations
 
+from hornbeamgw.core import backoff
+
 # Consecutive early losses that open the breaker. One is not enough, since the server may just have
 # closed an idle connection.
 OPEN_AFTER_LOSSES = 2
@@ -59,7 +61,7 @@
     state.consecutive_losses += 1
     if state.consecutive_losses < OPEN_AFTER_LOSSES or now < state.open_until:
         return False
-    state.open_until = now + min(OPEN_MAX_S, OPEN_BASE_S * 2**state.open_count)
+    state.open_until = now + backoff.ceiling(OPEN_BASE_S, OPEN_MAX_S, state.open_count)
     state.open_count += 1
     state.probe_until = 0.0
     return True
--- a/hornbeamgw/core/retrying.py
+++ b/hornbeamgw/core/retrying.py
@@ -5,6 +5,7 @@
 import random
 from typing import NamedTuple
 
+from hornbeamgw.core import backoff
 from hornbeamgw.core.verdict import Failure, Reason, Verdict
 
 DEFAULT_RETRY_BUDGET = 2
@@ -52,7 +53,7 @@
         return None
     if failure.verdict is not Verdict.NOT_RUN and not idempotent:
         return None
-    ceiling = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2 ** (attempts - 1))
+    ceiling = backoff.ceiling(BACKOFF_BASE_S, BACKOFF_MAX_S, attempts - 1)
     delay = rng.uniform(0, ceiling)
     return Retry(delay) if delay < remaining else None
 
--- a/hornbeamgw/daemon/committer.py
+++ b/hornbeamgw/daemon/committer.py
@@ -11,7 +11,7 @@
 from result import Err
 
 from hornbeamgw.backends.base import Platform, PlatformError
-from hornbeamgw.core import commit, edit, versions
+from hornbeamgw.core import backoff, commit, edit, versions
 from hornbeamgw.core.commit import Head
 from hornbeamgw.core.edit import Delta, Edit, Rejection
 from hornbeamgw.core.versions import ArrivalPath, Origin
@@ -75,7 +75,7 @@
                     "commit failed or its result is unknown; retrying",
                     extra={"edit": requested["edit_id"], "error": detail},
                 )
-                ceiling = min(BACKOFF_MAX_S, BACKOFF_S * 2**failures)
+                ceiling = backoff.ceiling(BACKOFF_S, BACKOFF_MAX_S, failures)
                 await asyncio.sleep(self._rng.uniform(0, ceiling))
                 continue
             if outcome is not None:
--- a/hornbeamgw/daemon/directory.py
+++ b/hornbeamgw/daemon/directory.py
@@ -15,7 +15,7 @@
 
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, RowStore, StoredRow
-from hornbeamgw.core import membership
+from hornbeamgw.core import backoff, membership
 from hornbeamgw.core.membership import Member, Status
 from hornbeamgw.core.rendezvous import select_members
 from hornbeamgw.daemon.control import Control
@@ -120,7 +120,7 @@
                     "directory read failed; retrying", extra={"error": str(error), "try": failures}
                 )
             self.joined.set()
-            ceiling = min(BACKOFF_MAX_S, BACKOFF_S * 2**failures)
+            ceiling = backoff.ceiling(BACKOFF_S, BACKOFF_MAX_S, failures)
             await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
         if not members:
             self.is_empty = True
--- a/hornbeamgw/daemon/presence.py
+++ b/hornbeamgw/daemon/presence.py
@@ -16,6 +16,7 @@
 
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, RowStore, StoredRow
+from hornbeamgw.core import backoff
 from hornbeamgw.core.finding import MAX_FINDINGS, MAX_FINGERPRINTS, Finding
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.options import is_address
@@ -201,7 +202,7 @@
                     "writing this daemon's directory row failed; retrying",
                     extra={"error": str(error), "try": failures},
                 )
-                await asyncio.sleep(min(BACKOFF_MAX_S, BACKOFF_S * 2**failures))
+                await asyncio.sleep(backoff.ceiling(BACKOFF_S, BACKOFF_MAX_S, failures))
 
 
 def _decode_entry(row: StoredRow) -> DirectoryEntry | None:
--- a/hornbeamgw/daemon/reader.py
+++ b/hornbeamgw/daemon/reader.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from hornbeamgw.backends.base import PlatformError
-from hornbeamgw.core import floor, membership, versions
+from hornbeamgw.core import backoff, floor, membership, versions
 from hornbeamgw.core.floor import FloorAnswer
 from hornbeamgw.core.membership import Member, Status
 from hornbeamgw.core.rendezvous import (
@@ -181,7 +181,7 @@
 
     async def _back_off(self, failures: int) -> None:
         limit = POLL_BACKOFF_MAX_S if self._uses_short_watch() else SLOW_POLL_BACKOFF_MAX_S
-        ceiling = min(limit, POLL_BACKOFF_S * 2**failures)
+        ceiling = backoff.ceiling(POLL_BACKOFF_S, limit, failures)
         await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
 
     def _min_total_readers(self) -> int:
@@ -269,7 +269,7 @@
         failures = 0
         while not self._is_caught_up():
             if failures:
-                ceiling = min(FLOOR_BACKOFF_MAX_S, FLOOR_BACKOFF_S * 2**failures)
+                ceiling = backoff.ceiling(FLOOR_BACKOFF_S, FLOOR_BACKOFF_MAX_S, failures)
                 await asyncio.sleep(self._rng.uniform(0, ceiling))
             failures += 1
             if self._control.versions.floor is None:
@@ -304,7 +304,7 @@
                 self._control.announce()
             if joined or failures >= MAX_JOIN_ATTEMPTS:
                 self._join_attempted.set()
-            ceiling = min(FLOOR_BACKOFF_MAX_S, FLOOR_BACKOFF_S * 2**failures)
+            ceiling = backoff.ceiling(FLOOR_BACKOFF_S, FLOOR_BACKOFF_MAX_S, failures)
             wait = RECONCILE_INTERVAL_S * self._rng.uniform(0.8, 1.2)
             await asyncio.sleep(wait if joined else self._rng.uniform(0, ceiling))
 
--- a/hornbeamgw/daemon/rollouts/leader.py
+++ b/hornbeamgw/daemon/rollouts/leader.py
@@ -10,7 +10,7 @@
 
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, RowStore, StoredRow
-from hornbeamgw.core import evidence, membership, rollout
+from hornbeamgw.core import backoff, evidence, membership, rollout
 from hornbeamgw.core.balancing import serving
 from hornbeamgw.core.membership import Member, server_key, split_by_server
 from hornbeamgw.core.rollout import LEADER_LAG_S, FleetView, Order, RolloutState, Step
@@ -300,7 +300,7 @@
                 log.info("writing rollout order status failed; will be tried again", extra=fields)
                 if step is not None:
                     return  # The next tick decides again.
-            ceiling = min(STATUS_RETRY_MAX_S, STATUS_RETRY_S * 2**failures)
+            ceiling = backoff.ceiling(STATUS_RETRY_S, STATUS_RETRY_MAX_S, failures)
             await asyncio.sleep(self._rng.uniform(ceiling / 2, ceiling))
         if decision >= Phase.BACK and not state.status.is_final:
             why = "it was decided before" if step is None else step.why
