Tell others an era of the store that does not fit into 32 bits

What operators would see: a store whose era is, say, a time in ms, and a daemon that sends no datagram any more, as none encodes: it is held for dead, and knows nobody's state. Found in the search for numbers that leave for the wire; no store was seen to give such an era.

Cause: the era of a datagram is a 32-bit field; what the store's header says went into it as it was.

Mend: a new 64-bit field for eras that don't fit; daemons of the version before read them as unknown, and all others as before. Evidence: two of four new rows in era.feature fail on the code before (the value is out of range) and pass now.

--- a/features/era.feature
+++ b/features/era.feature
@@ -95,3 +95,14 @@
     And the store comes back from that copy
     And the row is overwritten with version 9
     Then after 2 seconds version 9 still has the routes that it had
+
+  # Guards against an era that does not fit into its field, so that a daemon can send nothing.
+  Scenario Outline: An era of any size is told to other daemons
+    Then a datagram that tells of era <era> is read as such
+
+    Examples:
+      | era           |
+      | 0             |
+      | 4294967295    |
+      | 4294967296    |
+      | 1764763000000 |
--- a/features/steps/era.py
+++ b/features/steps/era.py
@@ -6,6 +6,9 @@
 
 from behave import given, then, when
 
+from hornbeamgw.core.membership import Probe
+from hornbeamgw.core.node import Envelope
+from hornbeamgw.daemon import datagrams
 from hornbeamgw.daemon.presence import BACKUP_MAX_AGE_S
 
 
@@ -71,3 +74,10 @@
         assert snapshot.version == number
         prefixes = [p for routes in snapshot.routes_by_host.values() for p in routes]
         assert len(prefixes) == 2, prefixes
+
+
+@then("a datagram that tells of era {era:d} is read as such")
+def era_told(context, era):
+    sent = Envelope("127.0.0.1:1", 1, 2, 3, [], Probe(7), era)
+    payload = datagrams.encode_datagram(5, sent)
+    assert datagrams.decode_datagram(5, payload) == sent
--- a/hornbeamgw/daemon/datagrams.py
+++ b/hornbeamgw/daemon/datagrams.py
@@ -21,9 +21,10 @@
 )
 
 _read_envelope_fields = field_reader(
-    schema.Datagram, "fleet", "sender", "version", "digest", "viewHash", "era", "gossip"
+    schema.Datagram, "fleet", "sender", "version", "digest", "viewHash", "era", "wideEra", "gossip"
 )
 
+MAX_NARROW_ERA = 0xFFFFFFFF  # limit of the 32-bit field that all daemons read
 MAX_UNSAFE_COUNT = 0xFFFF  # limit of the 16-bit field in an encoded tally
 
 
@@ -76,7 +77,10 @@
     out.version = datagram.version
     out.digest = datagram.digest
     out.viewHash = datagram.view_hash
-    out.era = datagram.era
+    if datagram.era <= MAX_NARROW_ERA:
+        out.era = datagram.era
+    else:
+        out.wideEra = datagram.era
     if datagram.gossip:
         gossip = out.init("gossip", len(datagram.gossip))
         for index, member in enumerate(datagram.gossip):
@@ -110,11 +114,12 @@
     """
     try:
         raw = schema.Datagram.from_bytes_packed(payload)
-        from_fleet, sender, version, digest, view_hash, era, members = _read_envelope_fields(raw)
+        from_fleet, sender, version, digest, view_hash, *eras, members = _read_envelope_fields(raw)
         if from_fleet != fleet:
             raise CodecError("a datagram of another fleet")
         gossip = read_newer_members(members, is_newer)
-        return Envelope(sender, version, digest, view_hash, gossip, _read_message(raw), era)
+        message = _read_message(raw)
+        return Envelope(sender, version, digest, view_hash, gossip, message, max(eras))
     except CodecError:
         raise
     except (capnp.KjException, ValueError, UnicodeError) as error:
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -205,7 +205,8 @@
     tally @11 :Tally;
   }
   viewHash @10 :UInt64;
-  era @12 :UInt32;
+  era @12 :UInt32;  # 0 if it is unknown or does not fit
+  wideEra @13 :UInt64;  # an era that does not fit into 32 bits
 }
 
 # Responses of a backend server since it started, and how many of them were bad, by route.
