Refuse a server at an address that can't be one

What operators would see: one heartbeat with a port over 65,535, and the daemon beside it sends no datagram any more, since its own record doesn't encode; it is held for dead, with the servers beside it.

Cause: the port is the number of a server, a 16-bit field of each record; the adapter checks only that it has at most five digits. Found in the search for numbers that leave for the wire.

Mend: an announcement whose address is not an IP address and a port is refused with a line that names it. Evidence: two new rows in servers.feature fail on the code before (taken) and pass now.

--- a/features/servers.feature
+++ b/features/servers.feature
@@ -65,6 +65,17 @@
     When 3 more servers are started alongside
     Then one more is refused with a line that names it
 
+  # Guards against a server number that does not fit into a record and ends the daemon's gossip.
+  Scenario Outline: A server at an address that can't be one is refused
+    When the server "i-2" is heard at "<address>"
+    Then it is refused with a line that names "<address>"
+    And the record is the same after a datagram and after a row
+
+    Examples:
+      | address        |
+      | 10.0.0.9:70000 |
+      | 10.0.0.999:80  |
+
   Scenario: The record crosses the network as it is
     When the server "i-2" of version "v2" with 3 slots is started alongside
     Then the record is the same after a datagram and after a row
--- a/features/steps/servers.py
+++ b/features/steps/servers.py
@@ -302,6 +302,20 @@
     assert context.gates.announced() == before
 
 
+@when('the server "{name}" is heard at "{address}"')
+def heard_at(context, name, address):
+    context.refusal = ""
+    try:
+        context.runner.run(heard(context, name, "v1", 1, address))
+    except ValueError as error:
+        context.refusal = str(error)
+
+
+@then('it is refused with a line that names "{address}"')
+def refused_by_address(context, address):
+    assert address in context.refusal, context.refusal
+
+
 @then("one more is refused with a line that names it")
 def one_too_many(context):
     try:
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -11,7 +11,7 @@
 
 from hornbeamgw.core import registration
 from hornbeamgw.core.membership import ServerState
-from hornbeamgw.core.options import split_address
+from hornbeamgw.core.options import is_address, split_address
 from hornbeamgw.core.registration import Departure, Heartbeat, RegistrationState
 from hornbeamgw.daemon.adoption import Adoption
 from hornbeamgw.daemon.gate import Announcement
@@ -84,6 +84,8 @@
     def _process(self, message: Heartbeat | Departure) -> None:
         if isinstance(message, Departure):
             self._on_departure(message)
+        elif not is_address(message.address):
+            raise ValueError(f"address {message.address!r}, expected an IP address and a port")
         elif not self._accepts_service(message.service):
             raise ValueError(f"service {message.service!r}, expected one of the configuration")
         else:
