Refuse a number of thousands of digits in a header

What callers saw: a request whose deadline header has more than 4,300 digits ended with a closed connection and no answer.

Cause: Python refuses to convert such a number, with a ValueError that the handler of a connection takes for an unexpected error. Found in the search for numbers that raise.

Mend: at most 18 digits, else 400 and a text that says so. Evidence: a new row in hostile.feature fails on the code before (no status) and passes now.

--- a/features/hostile.feature
+++ b/features/hostile.feature
@@ -20,6 +20,7 @@
 
       | GET /slots HTTP/9.9\r\nHost: desk.vatuwaqa.example\r\n\r\n | 505 |
       | GET /slots HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\nHornbeamgw-Deadline-Ms: soon\r\n\r\n | 400 |
+      | GET /slots HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\nHornbeamgw-Deadline-Ms: {5000 digits}\r\n\r\n | 400 |
       | GET /slots/../../x HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\n\r\n | 400 |
       | GET /slots/%2e%2E/x HTTP/1.1\r\nHost: desk.vatuwaqa.example\r\n\r\n | 400 |
 
--- a/features/steps/hostile.py
+++ b/features/steps/hostile.py
@@ -51,6 +51,7 @@
 @when('a caller sends "{request}"')
 def send_request(context, request):
     text = request.replace("\\r\\n", "\r\n").replace("{20000 bytes}", "x" * 20_000)
+    text = text.replace("{5000 digits}", "9" * 5_000)
     context.received = exchange(context, context.fleet.callers(context.daemon), text.encode())
 
 
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -27,6 +27,9 @@
 
 log = logging.getLogger(__name__)
 
+# Python refuses to convert numbers of more than a few thousand digits.
+MAX_HEADER_DIGITS = 18
+
 
 class MeshView(NamedTuple):
     """The snapshot in force and the known members at the time when a call arrives.
@@ -169,8 +172,9 @@
     given = header(request.headers, name) if name else None
     if given is None:
         return default
-    if not given.isdigit():
-        raise BadRequest(400, f"{name.decode()}: got {given!r}, expected a whole number")
+    if not given.isdigit() or len(given) > MAX_HEADER_DIGITS:
+        expected = f"a whole number of at most {MAX_HEADER_DIGITS} digits"
+        raise BadRequest(400, f"{name.decode()}: got {given[:64]!r}, expected {expected}")
     return int(given)
 
 
