Count a request against the bound of a new version once it is decided

What operators would see: requests that come together at one daemon during a rollout exceed its part of the bound on a version that is not accepted yet.

Cause: whether the bound has room is decided before a server is found, which may ask other daemons and dial a link (40 to 200 ms); the request counted only as it was sent. Found in the search for moments between a promise and its counting.

Mend: the decision reserves the request, until it is sent or ends without being sent.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -93,6 +93,14 @@
     Then at most 182 of them went to the new version
     And none of those that have waited did
 
+  # Guards against requests that pass the limit together, since each counts only once it is sent.
+  Scenario: Requests whose servers are found at the same time count against the bound at once
+    Given a daemon of a fleet of 1 that may expose 0.1 of the requests and 50 more
+    And it hears that the new version is "MOVING"
+    When servers are found for 200 requests before any of them is sent
+    Then at most 36 of them are at the new version
+    And once they have ended without being sent, 200 more get as many
+
   Scenario: None waits for a version that a daemon itself has seen to fail
     Given a daemon of a fleet of 1 that may expose 0.5 of the requests and 50 more
     And it hears that the servers of before are "IDEMPOTENT" while requests move
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -17,12 +17,15 @@
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.node import Envelope
 from hornbeamgw.core.rollout import FleetView, Order, RolloutState
-from hornbeamgw.core.snapshot import EMPTY_SNAPSHOT, Limits
+from hornbeamgw.core.snapshot import EMPTY_SNAPSHOT, Entry, Limits, Route
 from hornbeamgw.core.standing import Closing, Phase, RolloutStatus
 from hornbeamgw.core.tally import AttemptOutcome, Count, Tally
 from hornbeamgw.core.verdict import Reason, Verdict, may_have_run, not_run
-from hornbeamgw.daemon import codec, datagrams, frames
+from hornbeamgw.daemon import codec, datagrams, frames, heads
+from hornbeamgw.daemon.attempts import Links
+from hornbeamgw.daemon.call import Call, MeshView, release_reservation
 from hornbeamgw.daemon.gate import Announcement, Gate
+from hornbeamgw.daemon.servers import Servers
 from hornbeamgw.testing.asker import HEAD, RecordingLink
 from hornbeamgw.testing.rollout_model import simulate
 
@@ -125,6 +128,47 @@
     assert context.sent >= least, context.sent
 
 
+def find_servers(context, count):
+    """Find servers for requests before any of them is sent; return the calls at the new version."""
+    route = Route(
+        "r", "h", "/", frozenset(), (), Entry("e", "o", "c", Limits(6, 0, 6)), True, 5000, 200, 1, 0
+    )
+    links = Links(lambda: frames.Hello("f", "me", 1), lambda why: None)
+    servers = Servers(
+        links, lambda choice, rng: choice.candidates[0], context.rng, None, context.state
+    )
+    found = [m._replace(server_state=ServerState.SERVING, slots=6) for m in members("v1", "v2")]
+    view = MeshView(True, EMPTY_SNAPSHOT, found[0], found, 1)
+    exposure.record_versions(context.state, SERVICE, {"v1", "v2"}, -1000.0)
+
+    async def find():
+        head = heads.RequestHead(b"GET", b"/", [])
+        calls = [Call(f"c-{n}", route, SERVICE, head, 1e9, 2) for n in range(count)]
+        chosen = await asyncio.gather(*(servers.choose(call, view) for call in calls))
+        pairs = zip(calls, chosen, strict=True)
+        return [call for call, candidate in pairs if candidate.member.software == "v2"]
+
+    return context.runner.run(find())
+
+
+@when("servers are found for {count:d} requests before any of them is sent")
+def servers_found(context, count):
+    context.calls = find_servers(context, count)
+
+
+@then("at most {most:d} of them are at the new version")
+def at_most_found(context, most):
+    assert 0 < len(context.calls) <= most, len(context.calls)
+
+
+@then("once they have ended without being sent, {count:d} more get as many")
+def as_many_again(context, count):
+    for call in context.calls:
+        release_reservation(call)
+    again = find_servers(context, count)
+    assert abs(len(again) - len(context.calls)) <= 1, (len(again), len(context.calls))
+
+
 @when("{count:d} requests that are {kind} reach servers of the service")
 def reach_of_kind(context, count, kind):
     context.sent = context.waited = 0
--- a/hornbeamgw/core/exposure.py
+++ b/hornbeamgw/core/exposure.py
@@ -59,17 +59,34 @@
     """Counts of one daemon since it received the order `number` to roll out a version.
 
     `reached` counts requests to any server of the service; `sent`, `answers` and `bad` count
-    requests to the version, their answers, and the bad ones among these.
+    requests to the version, their answers, and the bad ones among these. `reserved` counts requests
+    that are being sent to the version.
     """
 
     def __init__(self, number: int) -> None:
         self.number = number
         self.reached = 0
+        self.reserved = 0
         self.sent = 0
         self.answers = 0
         self.bad = 0
 
 
+class Reservation:
+    """Counts a request against the limit of a version from the decision to send it there."""
+
+    def __init__(self, counts: _VersionCounts) -> None:
+        """Add a request to the counts of a version."""
+        self._counts: _VersionCounts | None = counts
+        counts.reserved += 1
+
+    def release(self) -> None:
+        """Remove the request, since it was sent or is not going to be sent there."""
+        if self._counts is not None:
+            self._counts.reserved -= 1
+            self._counts = None
+
+
 class RequestTraits(NamedTuple):
     """Properties of a request that determine the group of servers for it (`Arm`).
 
@@ -138,6 +155,17 @@
         state.counts_by_version[service, current.target].reached += 1
 
 
+def reserve(state: ExposureState, service: str) -> Reservation | None:
+    """Reserve a request to the version that is being rolled out, if there is one.
+
+    Finding a server may take a while, in which other requests are decided by the same limit.
+    """
+    current = state.current_by_service.get(service)
+    if current is None or current.is_final:
+        return None
+    return Reservation(state.counts_by_version[service, current.target])
+
+
 def record_sent(state: ExposureState, service: str, software: str) -> None:
     """Count a request that is being sent to a server of a software version."""
     counts = state.counts_by_version.get((service, software))
@@ -170,7 +198,7 @@
     allowed = USABLE_SHARE_RATIO * state.bound.share * counts.reached + slack
     if status.phase is Phase.TRIAL:
         allowed = canary_allowance(allowed, slack)
-    return counts.sent + rng.random() <= allowed
+    return counts.sent + counts.reserved + rng.random() <= allowed
 
 
 def canary_allowance(allowed: float, slack: float) -> float:
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -14,6 +14,7 @@
 from hornbeamgw.core.balancing import Candidate
 from hornbeamgw.core.crossing import RemoteReason
 from hornbeamgw.core.dialect import Dialect
+from hornbeamgw.core.exposure import Reservation
 from hornbeamgw.core.fingerprint import UNKNOWN, as_text, fingerprint_of
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.snapshot import Route, Snapshot
@@ -105,6 +106,8 @@
         Keys of the servers that are not to be chosen again.
     promise : Promise or None
         Expected bytes of the answer; None before the call is accepted.
+    reservation : Reservation or None
+        Request to a version under rollout that is about to be sent; None if there is none.
     """
 
     def __init__(
@@ -149,6 +152,14 @@
         self.progress = Progress(0.0)
         self.urgency = Urgency()
         self.promise: Promise | None = None
+        self.reservation: Reservation | None = None
+
+
+def release_reservation(call: Call) -> None:
+    """Release the reservation of a call, if it has one."""
+    if call.reservation is not None:
+        call.reservation.release()
+        call.reservation = None
 
 
 def objective_left_ms(call: Call, now: float) -> int:
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -53,6 +53,7 @@
     log_refused,
     objective_left_ms,
     placement_record,
+    release_reservation,
 )
 from hornbeamgw.daemon.failures import send_failure
 from hornbeamgw.daemon.flow import Pacer, Promise
@@ -186,6 +187,7 @@
             await self._handle(connection, call, view, started)
         finally:
             call.promise.settle()
+            release_reservation(call)
 
     async def _handle(
         self, connection: HttpConnection, call: Call, view: MeshView, started: float
@@ -422,6 +424,7 @@
             if self.draining:
                 _request_priority(attempt)
             exposure.record_sent(self._exposure_state, call.service, chosen.member.software)
+            release_reservation(call)
             failure = await self._await_answer(connection, call, attempt, address)
             self._record_exposure(call, chosen, failure)
             return failure
--- a/hornbeamgw/daemon/servers.py
+++ b/hornbeamgw/daemon/servers.py
@@ -15,7 +15,13 @@
 from hornbeamgw.core.placement import PlacementState, RouteTraits
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.attempts import Links
-from hornbeamgw.daemon.call import Call, MeshView, earliest_retry_ms, objective_left_ms
+from hornbeamgw.daemon.call import (
+    Call,
+    MeshView,
+    earliest_retry_ms,
+    objective_left_ms,
+    release_reservation,
+)
 from hornbeamgw.daemon.outlooks import QueryResult, is_good_enough
 
 OwnOutlook = Callable[[frames.OutlookRequest], frames.Outlook]
@@ -160,7 +166,10 @@
 
     async def choose(self, call: Call, view: MeshView) -> Candidate | None:
         """Choose a server for a call, by load reports or by querying a sample of the servers."""
+        release_reservation(call)
         arm = await self._wait_for_arm(call)
+        if arm in (Arm.TURN, Arm.NEW):
+            call.reservation = exposure.reserve(self._exposure_state, call.service)
         choice = self._choice(call, view, asyncio.get_running_loop().time(), arm)
         chosen = await self._choose_for(choice, call)
         call.why_far = None if chosen is None else crossing.why_far(choice, chosen)
