--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -350,6 +350,7 @@
         wait = self.exchange.wait_for_room(link, route)
         if not wait:
             return None
+        self.counts["refused.backlog"] += 1
         return not_run(Reason.NO_SLOT, "the link has too much to send", reported_wait_ms(wait))
 
     def _isolation_refusal(self, fingerprint: int) -> Failure | None:
--- a/hornbeamgw/daemon/gate_attempt.py
+++ b/hornbeamgw/daemon/gate_attempt.py
@@ -133,7 +133,9 @@
 ) -> None:
     """Log why an attempt was refused, and the load at that time."""
     call = attempt.call
-    fields = {"reason": failure.reason, "verdict": failure.verdict, "wait_ms": wait_ms}
+    fields: dict[str, object] = {"reason": failure.reason, "verdict": failure.verdict}
+    fields |= {"detail": failure.detail} if failure.detail else {}
+    fields |= {"wait_ms": wait_ms}
     fields |= {"running": len(state.running_by_attempt), "waiting": len(state.queue)}
     fields |= {"objective_ms": call.remaining_objective_ms, "deadline_ms": call.deadline_ms}
     log.info("attempt refused", extra={"call_id": call.call_id, "route": call.route, **fields})
