Find the addresses of a process behind its first log lines

The fleet of the soaks takes the first line of a daemon for its addresses. The stand-in is wrong: it now passes over log lines and keeps them; a line that is neither ends it as before. No check of the soak changed.

--- a/hornbeamgw/testing/fleet.py
+++ b/hornbeamgw/testing/fleet.py
@@ -177,16 +177,23 @@
         return ChildProcess(process, log_path)
 
     async def _first_line(self, child: ChildProcess, key: str) -> dict[str, Any]:
+        """Return the first line that has a key; log lines may precede it."""
         assert child.process.stdout is not None
+        log_lines: list[bytes] = []
         async with asyncio.timeout(START_TIMEOUT_S):
-            line = await child.process.stdout.readline()
+            while line := await child.process.stdout.readline():
+                bound_addresses: dict[str, Any] = msgspec.json.decode(line)
+                if key in bound_addresses:
+                    break
+                if "message" not in bound_addresses:
+                    raise RuntimeError(f"expected key {key!r} or a log line: {bound_addresses!r}")
+                log_lines.append(line)
+        with child.log_path.open("ab") as log_file:
+            log_file.writelines(log_lines)
         if not line:
             raise RuntimeError(
                 f"process exited during startup: {child.log_path.read_text()[-2000:]}"
             )
-        bound_addresses: dict[str, Any] = msgspec.json.decode(line)
-        if key not in bound_addresses:
-            raise RuntimeError(f"expected key {key!r} in the first line: {bound_addresses!r}")
         child.log_task = asyncio.create_task(_copy_log(child))
         return bound_addresses
 
