Don't take one's own pause for the silence of other daemons

What callers saw: a daemon that had stood still for 1.2 s or more took its links for silent as it woke, and ended them: answers were cut midway, and a booking that was answered in time ended as "may have run".

Cause: the check for silence compares the time of the last frame with now, though what came since then is still unread, and nothing could be asked.

Mend: a check that comes over 0.25 s after the one before (they are 0.1 s apart) excludes that time from the silence of each link. A link that is silent while the daemon runs is found as before.

Evidence of the mend: a new scenario in containment.feature (both daemons stand still for 1.6 s during a booking of 2.5 s) ends with link_lost on the code before, and is answered now. Another one guards the handler of a frame outside calls; without it no scenario noticed a link that ends with such an error.

--- a/features/containment.feature
+++ b/features/containment.feature
@@ -18,6 +18,20 @@
     And the call of route "sound" is answered on the same link
     And the gate runs no call
 
+  # Guards against an error at the gate outside a call that closed a link and ended every call on it.
+  Scenario: A question whose answer raises an error ends no call on its link
+    Given a daemon whose gate raises an error on calls of route "faulty", with a link to it
+    And a call of route "sound" runs there
+    When the gate is asked for an outlook, and reading the catalogue raises an error
+    Then the call of route "sound" is answered on the same link
+    And the gate runs no call
+
+  # Guards against a daemon that takes its own pause for the silence of others, and cuts off answers.
+  Scenario: A daemon that stood still for a while does not take its links for silent
+    Given two daemons that know each other, and a server beside the second
+    When a caller of the first makes a booking of 2.5 seconds, and both stand still for 1.6 seconds
+    Then the booking is answered
+
   # Guards against periodic checks that stop for good at their first error.
   Scenario: A periodic check that raises an error is called again, and so are those after it
     Given two periodic checks, the first of which raises an error each time
--- a/features/steps/containment.py
+++ b/features/steps/containment.py
@@ -5,10 +5,12 @@
 import asyncio
 import selectors
 import tempfile
+import time
 from pathlib import Path
 
 import msgspec
 from behave import given, then, when
+from calls import BODIES
 
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.core import balancing, breaker, node, slots
@@ -23,12 +25,13 @@
 from hornbeamgw.daemon.containment import run_every
 from hornbeamgw.daemon.gate import Gate
 from hornbeamgw.daemon.gates import Gates
+from hornbeamgw.daemon.http1 import HttpClient
 from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
 from hornbeamgw.daemon.link import Link, dial
 from hornbeamgw.daemon.presence import OwnRow
 from hornbeamgw.daemon.reload import Reloader
 from hornbeamgw.testing.asker import HEAD
-from hornbeamgw.testing.local import LocalFleet, wait_for
+from hornbeamgw.testing.local import LocalFleet, edit_from_bodies, wait_for
 
 LIMITS = Limits(10, 0, 10)
 FAULTY = "faulty"
@@ -115,6 +118,12 @@
     context.link.send(call_of(OTHER, FAULTY))
 
 
+@when("the gate is asked for an outlook, and reading the catalogue raises an error")
+def ask_outlook(context):
+    context.is_catalogue_faulty = True
+    context.link.send(frames.OutlookRequest(1, "roster", "bulk", "r", 5000, 5000, 5000, 0, False))
+
+
 @when("the call is sent once more, and reading the catalogue raises an error")
 def send_copy(context):
     context.is_catalogue_faulty = True
@@ -203,6 +212,47 @@
     context.runner.run(start())
 
 
+@given("two daemons that know each other, and a server beside the second")
+def two_with_server(context):
+    fleet = context.fleet = LocalFleet(context.scenario.name)
+    context.closers.append(fleet.close)
+
+    async def start():
+        first, second = context.daemons = [await fleet.start(), await fleet.start()]
+        await first.committer.commit(edit_from_bodies(BODIES, "e"))
+        await fleet.start_backend(second, "roster")
+        await wait_for(lambda: second.control.versions.snapshot.version == 1)
+        address = second.control.view.me.address
+        await wait_for(
+            lambda: address in view_of(first) and view_of(first)[address].service == "roster"
+        )
+
+    context.runner.run(start())
+
+
+@when(
+    "a caller of the first makes a booking of {seconds:g} seconds,"
+    " and both stand still for {still:g} seconds"
+)
+def stand_still(context, seconds, still):
+    async def run():
+        client = HttpClient(context.fleet.callers(context.daemons[0]), 10.0)
+        target = f"/bookings?work_ms={seconds * 1000:.0f}"
+        asking = asyncio.create_task(client.request("POST", target, [(b"host", b"test.example")]))
+        await wait_for(lambda: context.fleet.backends[0].running)
+        await asyncio.sleep(0.2)
+        time.sleep(still)
+        context.response = await asking
+        client.close()
+
+    context.runner.run(run())
+
+
+@then("the booking is answered")
+def booking_answered(context):
+    assert context.response.status == 200, context.response
+
+
 def view_of(daemon):
     return daemon.control.view.members_by_address
 
--- a/hornbeamgw/daemon/attempts.py
+++ b/hornbeamgw/daemon/attempts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
@@ -21,6 +22,9 @@
 
 # Covers two round trips between data centres, and leaves time for an attempt at another server.
 DIAL_TIMEOUT_S = 0.2
+# Time between two checks of the links after which this daemon counts as having stalled, for example
+# because its VM was suspended. It is shorter than the time after which a silent link is suspect.
+STALL_S = 0.25
 RESOLVE_TIMEOUT_S = 1.0
 RESOLVE_TIMEOUT_MIN_S = 0.05
 
@@ -124,6 +128,7 @@
         self._dialling_by_address: dict[str, asyncio.Task[Link]] = {}
         self._attempts_by_number: dict[int, Attempt] = {}
         self._next_number = 0
+        self._checked_at = math.inf
 
     async def link_to(self, address: str) -> Link:
         """Return the link to a daemon, opening it if necessary; raise LinkLost if that fails."""
@@ -206,7 +211,15 @@
                 attempt.events.put(LinkGone())
 
     def check(self, now: float) -> None:
-        """Check the links with open attempts for silence."""
+        """Check the links with open attempts for silence.
+
+        Call this several times per STALL_S.
+        """
+        stalled = now - self._checked_at
+        self._checked_at = now
+        if stalled > STALL_S:
+            for link in self._links_by_address.values():
+                link.exclude_stall(stalled, now)
         waiting = {attempt.link for attempt in self._attempts_by_number.values()}
         for link in list(self._links_by_address.values()):
             if link.lost:
--- a/hornbeamgw/daemon/link.py
+++ b/hornbeamgw/daemon/link.py
@@ -10,7 +10,7 @@
 from hornbeamgw.core.options import split_address
 from hornbeamgw.daemon import codec, frames
 from hornbeamgw.daemon.compression import Compressor, Decompressor
-from hornbeamgw.daemon.containment import contained
+from hornbeamgw.daemon.containment import log_contained
 
 # Heartbeats are answered within milliseconds, and TCP retransmits a lost packet after 0.2 s. A link
 # becomes suspect only after more than one retransmission.
@@ -147,8 +147,10 @@
             if frame.expects_reply:
                 self.send(frames.Heartbeat(False))
         else:
-            with contained(f"frame {type(frame).__name__}"):
+            try:
                 self._on_frame(self, frame)
+            except Exception:
+                log_contained(f"frame {type(frame).__name__}")
 
     def _handle_hello(self, frame: frames.Frame) -> None:
         if not isinstance(frame, frames.Hello):
@@ -165,6 +167,13 @@
         """Measure idle time from now, since no frames were expected until now."""
         self.received_at = max(self.received_at, now)
 
+    def exclude_stall(self, stalled: float, now: float) -> None:
+        """Exclude from the idle time the seconds in which this daemon itself did not run.
+
+        What the peer sent meanwhile may be unread, and the peer may have stalled as well.
+        """
+        self.received_at = min(now, self.received_at + stalled)
+
     def check_liveness(self, now: float) -> None:
         """Send a heartbeat to an idle peer, and abort the link after LOST_AFTER_IDLE_S."""
         idle = now - self.received_at
