Try the new mechanisms with mutants

Two quoted lines follow the code. A copy of a call that runs counts as having reached its server; an outlook refused for the link counts as refused; the handlers of frames and effects log without a context manager, as they run for each frame.

--- a/hornbeamgw/daemon/containment.py
+++ b/hornbeamgw/daemon/containment.py
@@ -14,13 +14,18 @@
 log = logging.getLogger(__name__)
 
 
+def log_contained(step: str) -> None:
+    """Log the error that is being handled, and the step of shared work that raised it."""
+    log.exception("unexpected error contained", extra={"step": step})
+
+
 @contextlib.contextmanager
 def contained(step: str) -> Iterator[None]:
     """Log an unexpected error in a step of shared work instead of raising it."""
     try:
         yield
     except Exception:
-        log.exception("unexpected error contained", extra={"step": step})
+        log_contained(step)
 
 
 async def run_every(interval: float, steps: Sequence[Callable[[], None]]) -> None:
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -21,7 +21,7 @@
 from hornbeamgw.core.tally import Tally
 from hornbeamgw.core.versions import ArrivalPath, Origin, VersionState
 from hornbeamgw.daemon import codec, datagrams, frames
-from hornbeamgw.daemon.containment import contained
+from hornbeamgw.daemon.containment import contained, log_contained
 from hornbeamgw.daemon.link import LinkLost, exchange
 from hornbeamgw.daemon.meter import Meter, TokenBucket
 
@@ -123,8 +123,10 @@
 
     def _execute(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
-            with contained(f"effect {type(effect).__name__}"):
+            try:
                 self._execute_one(effect)
+            except Exception:
+                log_contained(f"effect {type(effect).__name__}")
         self._log_member_changes()
         self._notify_member_reports()
 
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -292,8 +292,11 @@
         verdict = admission.resolve(self.state, attempt.id, 0.0, now)
         if is_registered:
             self._remove(attempt)
-        retry_after_ms = RETRY_AFTER_NOT_READY_MS if verdict is Verdict.NOT_RUN else 0
-        failure = Failure(verdict, Reason.NOT_READY, "an error of the gate", retry_after_ms)
+        detail = "an error of the gate"
+        if verdict is Verdict.NOT_RUN:
+            failure = not_run(Reason.NOT_READY, detail, RETRY_AFTER_NOT_READY_MS)
+        else:
+            failure = may_have_run(Reason.NOT_READY, detail)
         attempt.link.send(frames.Refusal(attempt.call.attempt, failure, 0))
         self._apply(decisions)
 
@@ -397,6 +400,7 @@
             left_ms = round((open_until - now) * 1000)
             return frames.Outlook(query.number, False, 0, 0, max(1, left_ms))
         if link_wait:
+            self.counts["outlooks.refused"] += 1
             wait_ms = reported_wait_ms(link_wait)
             return frames.Outlook(query.number, False, 0, wait_ms, max(1, wait_ms))
         self._refresh_reserved()
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -36,6 +36,7 @@
 BUDGET = "features/budget.feature"
 STOPPING = "features/stopping.feature"
 OVERLAPS = "features/stopping_overlaps.feature"
+CONTAINMENT = "features/containment.feature"
 
 
 class Mutant(NamedTuple):
@@ -48,6 +49,64 @@
 
 
 MUTANTS = (
+    Mutant(
+        "a daemon beside a server accepts only what its link can send in a stop",
+        "hornbeamgw/daemon/gate.py",
+        (("        refusal = refusal or self._backlog_refusal(link, call.route)\n", ""),),
+        STOPPING,
+    ),
+    Mutant(
+        "a daemon accepts only calls whose answers its link to callers can send in a stop",
+        "hornbeamgw/daemon/calls.py",
+        (("                or self._backlog_refusal(call)\n", ""),),
+        STOPPING,
+    ),
+    Mutant(
+        "answers that are promised count towards the backlog of a link",
+        "hornbeamgw/daemon/flow.py",
+        (("self.pending_for_callers + self.promised", "self.pending_for_callers"),),
+        STOPPING,
+    ),
+    Mutant(
+        "old servers refuse bookings as soon as these are kept from them",
+        "hornbeamgw/core/exposure.py",
+        (("closing is not Closing.OPEN else 0", "closing is Closing.CLOSED else 0"),),
+        ROLLOUTS,
+    ),
+    Mutant(
+        "requests count against the bound of a new version once they are decided",
+        "hornbeamgw/core/exposure.py",
+        (("counts.sent + counts.reserved + rng", "counts.sent + rng"),),
+        ROLLOUTS,
+    ),
+    Mutant(
+        "delays between tries are bounded before they overflow",
+        "hornbeamgw/core/backoff.py",
+        (("min(failures, MAX_DOUBLINGS)", "failures"),),
+        CONTAINMENT,
+    ),
+    Mutant(
+        "an error in the handler of a frame doesn't end the link",
+        "hornbeamgw/daemon/link.py",
+        (
+            (
+                '                log_contained(f"frame {type(frame).__name__}")',
+                "                raise",
+            ),
+        ),
+        CONTAINMENT,
+    ),
+    Mutant(
+        "a copy of a call that runs is not said to be not run, whatever fails",
+        "hornbeamgw/daemon/gate.py",
+        (
+            (
+                "        if verdict is Verdict.NOT_RUN:\n            failure = not_run(Reason.NOT",
+                "        if verdict:\n            failure = not_run(Reason.NOT",
+            ),
+        ),
+        CONTAINMENT,
+    ),
     Mutant(
         "answers go first that a daemon which stops waits for",
         "hornbeamgw/daemon/gate_attempt.py",
@@ -92,7 +151,12 @@
     Mutant(
         "a version on trial gets no more than its part",
         "hornbeamgw/core/exposure.py",
-        (("    return counts.sent + rng.random() <= allowed", "    return True"),),
+        (
+            (
+                "    return counts.sent + counts.reserved + rng.random() <= allowed",
+                "    return True",
+            ),
+        ),
         ROLLOUTS,
     ),
     Mutant(
