--- a/features/containment.feature
+++ b/features/containment.feature
@@ -28,8 +28,8 @@
 
   # Guards against a daemon that takes its own pause for the silence of others, and cuts off answers.
   Scenario: A daemon that stood still for a while does not take its links for silent
-    Given two daemons that know each other, and a server beside the second
-    When a caller of the first makes a booking of 2.5 seconds, and both stand still for 1.6 seconds
+    Given daemons A and B, the roster server beside B
+    When a caller of A makes a booking of 2.5 seconds, and both daemons stand still for 1.6 seconds
     Then the booking is answered
 
   # Guards against periodic checks that stop for good at their first error.
--- a/features/steps/containment.py
+++ b/features/steps/containment.py
@@ -10,7 +10,6 @@
 
 import msgspec
 from behave import given, then, when
-from calls import BODIES
 
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.core import balancing, breaker, node, slots
@@ -31,7 +30,7 @@
 from hornbeamgw.daemon.presence import OwnRow
 from hornbeamgw.daemon.reload import Reloader
 from hornbeamgw.testing.asker import HEAD
-from hornbeamgw.testing.local import LocalFleet, edit_from_bodies, wait_for
+from hornbeamgw.testing.local import LocalFleet, wait_for
 
 LIMITS = Limits(10, 0, 10)
 FAULTY = "faulty"
@@ -212,34 +211,16 @@
     context.runner.run(start())
 
 
-@given("two daemons that know each other, and a server beside the second")
-def two_with_server(context):
-    fleet = context.fleet = LocalFleet(context.scenario.name)
-    context.closers.append(fleet.close)
-
-    async def start():
-        first, second = context.daemons = [await fleet.start(), await fleet.start()]
-        await first.committer.commit(edit_from_bodies(BODIES, "e"))
-        await fleet.start_backend(second, "roster")
-        await wait_for(lambda: second.control.versions.snapshot.version == 1)
-        address = second.control.view.me.address
-        await wait_for(
-            lambda: address in view_of(first) and view_of(first)[address].service == "roster"
-        )
-
-    context.runner.run(start())
-
-
 @when(
-    "a caller of the first makes a booking of {seconds:g} seconds,"
-    " and both stand still for {still:g} seconds"
+    "a caller of A makes a booking of {seconds:g} seconds,"
+    " and both daemons stand still for {still:g} seconds"
 )
 def stand_still(context, seconds, still):
     async def run():
-        client = HttpClient(context.fleet.callers(context.daemons[0]), 10.0)
+        client = HttpClient(context.fleet.callers(context.a), 10.0)
         target = f"/bookings?work_ms={seconds * 1000:.0f}"
         asking = asyncio.create_task(client.request("POST", target, [(b"host", b"test.example")]))
-        await wait_for(lambda: context.fleet.backends[0].running)
+        await wait_for(lambda: context.backend.running)
         await asyncio.sleep(0.2)
         time.sleep(still)
         context.response = await asking
