Log what a backend server declares in its answers

The daemon beside a server logs each change of what the server's answers say, and counts them as declarations.

--- a/hornbeamgw/core/dialect.py
+++ b/hornbeamgw/core/dialect.py
@@ -25,6 +25,11 @@
         Header that proves by its presence that an answer was created by the backend server.
     not_run : bytes
         Header that states that the backend server did not run the request.
+    rate_limit : bytes
+        Header in which a backend server names the requests per second that it takes from all
+        daemons together.
+    leaving : bytes
+        Header in which a backend server says that it is about to end.
     other_instance_status : int
         HTTP status with which a server refuses, without running it, a request that was addressed to
         a different instance; 0 if unused.
@@ -44,6 +49,8 @@
     instance: bytes = b""
     signature: bytes = b""
     not_run: bytes = b""
+    rate_limit: bytes = b"hornbeamgw-rate-limit"
+    leaving: bytes = b"hornbeamgw-leaving"
     other_instance_status: int = 0
     echoes_call_id: bool = False
     fractional_retry_after: bool = False
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -18,6 +18,7 @@
 from hornbeamgw.core.tally import Count, Tally
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames
+from hornbeamgw.daemon.declarations import ServerDeclarations
 from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.gate_attempt import (
     GateAttempt,
@@ -94,6 +95,7 @@
         self._crashed_run: Announcement | None = None
         self.counts: Counter[str] = Counter()
         self.counts_by_route: dict[str, Count] = {}
+        self.declarations = ServerDeclarations(dialect, self.counts)
         self.exchange = ServerExchange(
             self.state,
             dialect,
@@ -101,6 +103,7 @@
             self.counts,
             self._on_stalled,
             self._on_server_crash,
+            self.declarations,
         )
         self.idle = asyncio.Event()
         self.idle.set()
--- a/hornbeamgw/daemon/server_answer.py
+++ b/hornbeamgw/daemon/server_answer.py
@@ -23,7 +23,7 @@
 class ReceivedHead(NamedTuple):
     """Head of an answer, and the number of answers to other requests skipped before it."""
 
-    response: h11.Response
+    answer: AnswerHead
     skipped: int
 
 
@@ -65,12 +65,9 @@
             continue
         if not isinstance(event, h11.Response):
             raise ConnectionLost
-        if is_answer_to(
-            dialect,
-            AnswerHead(event.status_code, normalise_headers(event.headers)),
-            call_id.encode(),
-        ):
-            return ReceivedHead(event, skipped)
+        answer = AnswerHead(event.status_code, normalise_headers(event.headers))
+        if is_answer_to(dialect, answer, call_id.encode()):
+            return ReceivedHead(answer, skipped)
         skipped += 1
         log.warning(
             "backend server sent an answer to another request; skipping it",
@@ -91,11 +88,10 @@
             raise ConnectionLost
 
 
-def failure_of(dialect: Dialect, head: h11.Response, call_id: str) -> Failure | None:
+def failure_of(dialect: Dialect, answer: AnswerHead, call_id: str) -> Failure | None:
     """Return a failure if an answer is invalid or states that the request did not run."""
-    answer = AnswerHead(head.status_code, normalise_headers(head.headers))
     if says_not_run(dialect, answer):
-        detail = f"status {head.status_code}"
+        detail = f"status {answer.status}"
         failure = not_run(Reason.BACKEND_REFUSED, detail, RETRY_AFTER_REFUSED_MS)
         return failure._replace(reached_server=True)
     problem = invalid_reason(dialect, answer, call_id.encode())
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -19,6 +19,7 @@
 from hornbeamgw.core.verdict import Failure, Reason, may_have_run, not_run
 from hornbeamgw.daemon import frames, heads, server_answer
 from hornbeamgw.daemon.backend_pool import BackendPool, PoolFull
+from hornbeamgw.daemon.declarations import ServerDeclarations
 from hornbeamgw.daemon.end_watch import CrashDetector
 from hornbeamgw.daemon.flow import WINDOW_BYTES, Pacer, Promise
 from hornbeamgw.daemon.gate_attempt import GateAttempt, pump_body, settle
@@ -51,12 +52,14 @@
         counts: Counter[str],
         on_stalled: Callable[[GateAttempt], None],
         on_crash: Callable[[Sequence[int]], None],
+        declarations: ServerDeclarations,
     ) -> None:
         """Create an exchange without a backend server.
 
         Answers report the load in `state`. `on_stalled` is called with an attempt whose answer is
         not sent completely in time. `on_crash` is called if the backend server crashes, with the
-        fingerprints of the requests that were running at that moment.
+        fingerprints of the requests that were running at that moment. Answers of the current run
+        are read by `declarations`.
         """
         self.pool = BackendPool()
         self.crash_detector = CrashDetector(self.pool, on_crash)
@@ -69,6 +72,7 @@
         self._pacer = pacer
         self._counts = counts
         self._on_stalled = on_stalled
+        self._declarations = declarations
         self._transfers = TransferState()
 
     def forget_run(self) -> None:
@@ -178,28 +182,30 @@
         self, attempt: GateAttempt, connection: HttpConnection, sent: list[h11.Event]
     ) -> Failure | None:
         call_id = attempt.call.call_id
-        event, skipped = await server_answer.next_head(connection, self._dialect, call_id, sent)
+        answer, skipped = await server_answer.next_head(connection, self._dialect, call_id, sent)
         breaker.note_sound(self.breaker)
         self.crash_detector.note_sound()
         self._counts["foreign_answers"] += skipped
-        self.pool.note_keep_alive(connection, header(event.headers, b"keep-alive"))
-        failure = server_answer.failure_of(self._dialect, event, call_id)
-        is_replaced = event.status_code == self._dialect.other_instance_status
+        self.pool.note_keep_alive(connection, header(answer.headers, b"keep-alive"))
+        failure = server_answer.failure_of(self._dialect, answer, call_id)
+        is_replaced = answer.status == self._dialect.other_instance_status
         if failure is not None and is_replaced and self.instance:
             self.on_replaced(self.instance)
+        elif attempt.id in self._state.started_by_attempt:
+            self._declarations.note_answer(answer, self.instance)
         body, end = server_answer.read_available(connection)
         if failure is not None:
             return failure
         settle(attempt)
-        attempt.status = event.status_code
+        attempt.status = answer.status
         attempt.answered_at = asyncio.get_running_loop().time()
         size = self._pacer.part_bytes
         first, rest = body[:size], body[size:]
         is_complete = end and not rest
         reply = frames.Reply(
             attempt.call.attempt,
-            event.status_code,
-            heads.encode_headers(end_to_end_headers(event.headers)),
+            answer.status,
+            heads.encode_headers(end_to_end_headers(answer.headers)),
             first,
             is_complete,
             *self.load(),
