Keep to the limit that a backend server names, and drain one that says it leaves

What callers and operators saw: a server that had named 23.2 requests a second got 397 in 4 s (144 allowed), and one that left got new work.

Cause: nothing read either header; what a server says in an answer reached the caller and bound nobody. The class: a statement that binds the whole fleet and is known, if at all, only where it is heard.

The daemon beside the server is the one place that all its requests pass, so the limit is a token bucket in its admission (core/rate_limit): each start takes a token, more urgent requests use what less urgent ones leave, what is queued beyond the tokens is refused at once, and callers that are refused are told different times. A refusal there is not_run and has not reached the server, so another server takes the request at no cost to the retry budget. A limit ends by an answer to a request that was sent after the last one that named it; at nearly 0 a request each 2 s finds out. A server that says that it leaves drains as if it had announced it.

What one daemon hears goes along with its calls (Call.heard): a daemon that has been started again learns it from the first of them, and from the health check by which it adopts a server.

Both rules have the one cause, so they go in together.

--- a/features/steps/adoption.py
+++ b/features/steps/adoption.py
@@ -11,6 +11,7 @@
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, StoredRow
 from hornbeamgw.core import membership, node
+from hornbeamgw.core.dialect import Dialect
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.registration import Announcement, Departure, Heartbeat
 from hornbeamgw.core.snapshot import EMPTY_SNAPSHOT
@@ -75,7 +76,11 @@
     context.gate = Gate(lambda: EMPTY_SNAPSHOT, lambda: None)
     row = OwnRow(context.rows, Member(KEY, "suva-1", "fiji", 1))
     context.taker = ServerRegistry(
-        Gates(lambda: context.gate), None, 10, 6.0, adoption=Adoption(row, b"x-instance-id")
+        Gates(lambda: context.gate),
+        None,
+        10,
+        6.0,
+        adoption=Adoption(row, Dialect(instance=b"x-instance-id")),
     )
     context.writing = asyncio.create_task(row.run())
     try:
--- a/features/steps/servers.py
+++ b/features/steps/servers.py
@@ -10,6 +10,7 @@
 from hornbeamgw.backends.rows import RowPage, StoredRow
 from hornbeamgw.core import balancing, membership
 from hornbeamgw.core.balancing import Load, candidate_of
+from hornbeamgw.core.dialect import Dialect
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.node import Envelope
 from hornbeamgw.core.registration import Departure, Heartbeat
@@ -81,7 +82,7 @@
     context.view = membership.MembershipState(ME, membership.Timing())
     context.gates = Gates(lambda: Gate(lambda: EMPTY_SNAPSHOT, lambda: on_change(context)))
     context.taker = ServerRegistry(
-        context.gates, None, 10, 6.0, adoption=Adoption(row, b"x-instance-id")
+        context.gates, None, 10, 6.0, adoption=Adoption(row, Dialect(instance=b"x-instance-id"))
     )
     context.row = row
     context.writing = asyncio.create_task(row.run())
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
-from hornbeamgw.core import queueing, service_times
+import math
+
+from hornbeamgw.core import queueing, rate_limit, service_times
 from hornbeamgw.core.membership import ServerState
 from hornbeamgw.core.service_times import ServiceTimes
 from hornbeamgw.core.slots import (
@@ -21,6 +23,7 @@
     Decision,
     Outlook,
     Queued,
+    RateLimitState,
     Refused,
     Request,
 )
@@ -61,19 +64,24 @@
     return record.status in (AttemptStatus.RUNNING, AttemptStatus.FINISHED)
 
 
-def free_slots(state: AdmissionState) -> int:
-    """Return the number of slots that no running or queued request needs.
+def free_slots(state: AdmissionState, now: float) -> int:
+    """Return the number of requests that could start now beside the running and queued ones.
 
     The result is 0 if the backend server is not serving.
     """
     if state.server_state is not ServerState.SERVING:
         return 0
-    return max(0, state.slots - len(state.running_by_attempt) - len(state.queue))
+    free = max(0, state.slots - len(state.running_by_attempt) - len(state.queue))
+    return int(min(free, rate_limit.free_tokens(state.rate_limit, len(state.queue), now)))
 
 
 def expected_wait(state: AdmissionState, now: float) -> float:
-    """Return the expected wait for a slot in seconds, for a request that arrives now."""
-    return queueing.expected_wait(state, now)
+    """Return the expected wait for a start in seconds, for a request that arrives now."""
+    return max(queueing.expected_wait(state, now), _rate_limit_wait(state, 0, now))
+
+
+def _rate_limit_wait(state: AdmissionState, priority: int, now: float) -> float:
+    return rate_limit.wait(state.rate_limit, priority, len(state.queue), now)
 
 
 def expected_service_time(state: AdmissionState, request: Request, now: float) -> float:
@@ -122,6 +130,8 @@
 
 
 def _retry_after_ms(state: AdmissionState, request: Request, reason: Reason, now: float) -> int:
+    if reason is Reason.RATE_LIMITED:
+        return max(1, math.ceil(1000 * _rate_limit_wait(state, request.priority, now)))
     if reason in (Reason.NO_SLOT, Reason.QUEUE_TIMEOUT):
         return max(1, round(1000 * state.policy.retry_after(state, request, now)))
     return RETRY_AFTER_DRAIN_MS
@@ -130,6 +140,9 @@
 def _refuse(state: AdmissionState, request: Request, reason: Reason, now: float) -> Refused:
     _record_status(state, request.attempt, AttemptStatus.REFUSED, now)
     retry_after_ms = _retry_after_ms(state, request, reason, now)
+    if reason is Reason.RATE_LIMITED:
+        wait = rate_limit.retry_after(state.rate_limit, request.priority, len(state.queue), now)
+        retry_after_ms = max(1, math.ceil(1000 * wait))
     return Refused(request, not_run(reason, retry_after_ms=retry_after_ms))
 
 
@@ -143,7 +156,10 @@
         return Reason.COLD
     if state.server_state is ServerState.NONE or state.service != service:
         return Reason.NO_BACKEND
-    return Reason.DEADLINE if request.deadline <= now else None
+    if request.deadline <= now:
+        return Reason.DEADLINE
+    rate_limit.record_priority(state.rate_limit, request.priority, now)
+    return Reason.RATE_LIMITED if _rate_limit_wait(state, request.priority, now) else None
 
 
 def _may_start(state: AdmissionState, request: Request, now: float) -> bool:
@@ -159,6 +175,7 @@
 
 
 def _start(state: AdmissionState, request: Request, now: float) -> Admitted:
+    rate_limit.spend(state.rate_limit, now)
     queueing.record_start(state, request, now)
     state.running_by_attempt[request.attempt] = request
     state.started_by_attempt[request.attempt] = now
@@ -202,9 +219,9 @@
 
 
 def next_decisions(state: AdmissionState, now: float) -> list[Decision]:
-    """Refuse queued requests that would end too late, and start those for which a slot is free.
+    """Refuse queued requests that are too late or over the rate limit, and start others.
 
-    Returns the decisions on these requests.
+    Requests are started as slots are free. Returns the decisions on these requests.
     """
     if not state.queue:
         return []
@@ -213,6 +230,9 @@
     decisions: list[Decision] = [
         _refuse(state, request, Reason.QUEUE_TIMEOUT, now) for request in timed_out
     ]
+    over_limit = rate_limit.excess(state.rate_limit, state.queue, now)
+    state.queue = [r for r in state.queue if r not in over_limit]
+    decisions += [_refuse(state, request, Reason.RATE_LIMITED, now) for request in over_limit]
     for request in state.policy.order(state, now):
         if _has_slot(state, request, now):
             state.queue.remove(request)
@@ -262,12 +282,13 @@
 
 
 def forget_run(state: AdmissionState) -> None:
-    """Discard the statistics of the backend server's previous process, such as service times."""
+    """Discard what is known of the backend server's previous process, such as service times."""
     state.service_time_estimates = ServiceTimes()
     state.slacks_by_route.clear()
     state.slot_use_by_route.clear()
     state.started_by_attempt.clear()
     state.mean_service_time = INITIAL_SERVICE_TIME_S
+    state.rate_limit = RateLimitState()
 
 
 def resolve(state: AdmissionState, attempt: AttemptId, age: float, now: float) -> Verdict:
--- a/hornbeamgw/core/balancing.py
+++ b/hornbeamgw/core/balancing.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from hornbeamgw.core import backoff
+from hornbeamgw.core.declaration import Heard
 from hornbeamgw.core.membership import (
     Member,
     ServerState,
@@ -59,6 +60,8 @@
         Service time relative to the mean of the route; 1 is average, larger is slower.
     failure_probability : float
         Smoothed ratio of failed attempts, as of `outcome_at`.
+    heard : Heard or None
+        What the server declared in its last answer to this daemon.
     """
 
     def __init__(self, now: float) -> None:
@@ -75,6 +78,7 @@
         self.slowness = 1.0
         self.failure_probability = 0.0
         self.outcome_at = now
+        self.heard: Heard | None = None
 
 
 class Candidate(NamedTuple):
--- a/hornbeamgw/core/dialect.py
+++ b/hornbeamgw/core/dialect.py
@@ -84,6 +84,11 @@
     return bool(dialect.not_run) and _header_value(answer.headers, dialect.not_run) is not None
 
 
+def is_from_server(dialect: Dialect, answer: AnswerHead) -> bool:
+    """Return whether an answer bears the signature of the backend server, if there are any."""
+    return not dialect.signature or _header_value(answer.headers, dialect.signature) is not None
+
+
 def is_answer_to(dialect: Dialect, answer: AnswerHead, call_id: bytes) -> bool:
     """Return whether an answer belongs to this call.
 
--- a/hornbeamgw/core/registration.py
+++ b/hornbeamgw/core/registration.py
@@ -156,6 +156,16 @@
     state.latest_started_ms = heartbeat.started_ms
 
 
+def drain(state: RegistrationState, instance: str) -> bool:
+    """Record that the run of an instance drains, and return whether it is the registered run."""
+    known = state.known_runs_by_instance.get(instance, UNKNOWN_RUN)
+    _store_run(state, instance, known._replace(is_draining=True))
+    if state.current is None or state.current.instance != instance:
+        return False
+    state.current = state.current._replace(state=ServerState.DRAINING)
+    return True
+
+
 def retire(state: RegistrationState, instance: str, started_ms: int = 0) -> bool:
     """Record that a run of an instance has ended, and return whether it was the registered run.
 
--- a/hornbeamgw/core/slots.py
+++ b/hornbeamgw/core/slots.py
@@ -164,6 +164,32 @@
     at: float
 
 
+class RateLimitState:
+    """Rate limit of a backend server, and the token bucket that enforces it.
+
+    Attributes
+    ----------
+    limit : float or None
+        Requests per second that the server takes; None if it has declared no limit.
+    tokens, tokens_at : float
+        Number of tokens in the bucket at a time (s).
+    named_at : float
+        Time (s) of the last answer that declared a limit.
+    seen_at_by_priority, retry_at_by_priority : dict
+        Time (s) of the last request of each priority, and the latest time at which a refused
+        caller was asked to retry.
+    """
+
+    def __init__(self) -> None:
+        """Start without a limit."""
+        self.limit: float | None = None
+        self.tokens = 0.0
+        self.tokens_at = 0.0
+        self.named_at = -math.inf
+        self.seen_at_by_priority: dict[int, float] = {}
+        self.retry_at_by_priority: dict[int, float] = {}
+
+
 class AdmissionState:
     """State that a backend server has announced, and its running and queued requests.
 
@@ -179,6 +205,8 @@
         Slack and slot use of recently seen routes, for queue policies that protect short requests.
     warm_at : float
         Time (s) at which the warm-up of the server ends.
+    rate_limit : RateLimitState
+        Requests per second that the server takes.
     """
 
     def __init__(self, policy: str = "deadline") -> None:
@@ -197,4 +225,5 @@
         self.slot_use_by_route: dict[str, SlotUse] = {}
         self.started_by_attempt: dict[AttemptId, float] = {}
         self.warm_at = 0.0
+        self.rate_limit = RateLimitState()
         self.policy = policies_by_name[policy]
--- a/hornbeamgw/core/verdict.py
+++ b/hornbeamgw/core/verdict.py
@@ -35,6 +35,7 @@
     NOT_READY = "not_ready"
     QUARANTINED = "quarantined"
     QUEUE_TIMEOUT = "queue_timeout"
+    RATE_LIMITED = "rate_limited"  # the backend server takes fewer requests per second
 
 
 class Failure(NamedTuple):
--- a/hornbeamgw/daemon/adoption.py
+++ b/hornbeamgw/daemon/adoption.py
@@ -13,6 +13,9 @@
 
 import h11
 
+from hornbeamgw.core import declaration
+from hornbeamgw.core.declaration import Declaration
+from hornbeamgw.core.dialect import Dialect
 from hornbeamgw.core.registration import Announcement
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, header
 from hornbeamgw.daemon.presence import OwnRow
@@ -27,10 +30,10 @@
 class Adoption:
     """The stored announcements of local servers, and the health check before restoring them."""
 
-    def __init__(self, row: OwnRow, instance_header: bytes) -> None:
-        """Use this daemon's `row`, and the answer header that contains a server's instance id."""
+    def __init__(self, row: OwnRow, dialect: Dialect) -> None:
+        """Use this daemon's `row`, and the headers that the servers understand."""
         self._row = row
-        self._instance_header = instance_header
+        self._dialect = dialect
 
     def note(self, announcements: Iterable[Announcement]) -> None:
         """Store the announcements of the local servers that are serving."""
@@ -40,8 +43,11 @@
         """Return the announcements of the local servers from before this daemon was restarted."""
         return await self._row.last_known()
 
-    async def is_unchanged(self, known: Announcement, health_path: str) -> bool:
-        """Return whether a health check succeeds and is answered by the announced instance."""
+    async def check(self, known: Announcement, health_path: str) -> Declaration | None:
+        """Return what the announced instance declares in its answer to a health check.
+
+        The result is None if the check fails, or if the instance leaves or is another one.
+        """
         client = HttpClient(known.address, CHECK_TIMEOUT_S)
         try:
             answer = await client.request("GET", health_path)
@@ -50,12 +56,16 @@
                 "backend server not adopted: health check failed",
                 extra={"error": str(error) or type(error).__name__},
             )
-            return False
+            return None
         finally:
             client.close()
-        reported = header(answer.headers, self._instance_header) or b""
+        reported = header(answer.headers, self._dialect.instance) or b""
+        declared = declaration.read(self._dialect, answer.headers)
         is_same = answer.status == HEALTHY_STATUS and reported == known.instance.encode()
+        is_adopted = is_same and not declared.is_leaving
         reported_text = reported.decode("latin-1")
         extra = {"instance": known.instance, "told": reported_text, "status": answer.status}
-        log.info("backend server adopted" if is_same else "backend server not adopted", extra=extra)
-        return is_same
+        extra |= declared._asdict()
+        message = "backend server adopted" if is_adopted else "backend server not adopted"
+        log.info(message, extra=extra)
+        return declared if is_adopted else None
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -67,6 +67,7 @@
         self._connections = connections
         self._ttl = ttl
         gates.on_replaced = self.on_replaced
+        gates.on_leaving = self.on_leaving
 
     async def on_request(self, connection: HttpConnection, request: h11.Request) -> None:
         """Handle a request with a heartbeat or departure."""
@@ -178,12 +179,15 @@
         health_path = health_path_of(stored.service)
         if health_path is None or self._has_server_at(stored.address):
             return
-        if not await self._adoption.is_unchanged(stored, health_path):
+        declared = await self._adoption.check(stored, health_path)
+        if declared is None:
             return
         if not self._has_server_at(stored.address):
             now = asyncio.get_running_loop().time()
             registration.adopt(self._state_at(stored.address), _as_heartbeat(stored), now)
             self._gates.announce(stored._replace(expires_at=now + self._ttl))
+            gate = self._gates.gate_for(split_address(stored.address)[1])
+            gate.declarations.note_check(declared, now)
 
     def _on_departure(self, message: Departure) -> None:
         log.info("backend server announced its departure", extra={"instance": message.instance})
@@ -199,6 +203,13 @@
         ):
             self._unregister(registered_address)
 
+    def on_leaving(self, instance: str) -> None:
+        """Record that an instance drains because its answers say that it leaves."""
+        registered_address = self._registered_address(instance)
+        if registered_address is not None:
+            registration.drain(self._state_at(registered_address), instance)
+            self._save_registrations()
+
     def on_replaced(self, instance: str) -> None:
         """Remove an instance after another one has answered at its address."""
         log.warning(
--- a/hornbeamgw/daemon/call.py
+++ b/hornbeamgw/daemon/call.py
@@ -100,6 +100,8 @@
         Time in seconds spent waiting while all servers were about to be replaced.
     reached_attempts, refused_attempts : int
         Numbers of failed attempts that reached a server, and that were refused or lost before.
+    limited_attempts : int
+        Number of attempts refused because a server was at its rate limit.
     is_body_streaming : bool
         Whether the rest of the request body is being sent, so that it can't be sent again.
     tried : list of str
@@ -135,6 +137,7 @@
         self.retry_after_ms = 0
         self.reached_attempts = 0
         self.refused_attempts = 0
+        self.limited_attempts = 0
         self.head = head
         self.deadline = deadline
         self.budget = budget
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -18,6 +18,7 @@
     placement,
     retry_budget,
     retrying,
+    sampling,
     split,
     stopping,
     transfers,
@@ -84,6 +85,8 @@
 # Attempts that a gate refuses don't load its backend server, so they have a limit of their own and
 # don't count towards the route's attempts.
 MAX_REFUSALS = 3
+# Servers that are at their rate limits are full for a known time, and others may be idle.
+MAX_RATE_LIMIT_REFUSALS = sampling.QUERY_ABOVE_SERVERS
 SERVER_FAULT_REASONS = frozenset(
     {Reason.BACKEND_BROKE, Reason.BACKEND_REFUSED, Reason.BACKEND_UNREACHABLE, Reason.LINK_LOST}
 )
@@ -333,7 +336,10 @@
             if call.caller_gone or call.is_body_streaming or call.is_given_up:
                 return failure
             call.reached_attempts += failure.reached_server
-            call.refused_attempts += not failure.reached_server
+            if failure.reason is Reason.RATE_LIMITED:
+                call.limited_attempts += 1
+            else:
+                call.refused_attempts += not failure.reached_server
             retry = self._retry(call, failure, loop.time())
             if retry is None:
                 return self._with_retry_after(call, failure)
@@ -357,6 +363,8 @@
         """Return a retry if the call, the route and the retry budget of the fleet allow one."""
         if call.refused_attempts >= MAX_REFUSALS or call.reached_attempts >= call.route.attempts:
             return None
+        if call.limited_attempts >= MAX_RATE_LIMIT_REFUSALS:
+            return None
         remaining = call.deadline - now
         retry = retrying.plan_retry(
             failure,
@@ -469,6 +477,7 @@
             call.fingerprint,
             attempt.server,
             round(self._servers.traits_of(call).service * 1000),
+            attempt.load.heard,
         )
         attempt.load.sent_since_report += 1
         attempt.link.send(frame)
@@ -501,6 +510,7 @@
         traits = self._servers.traits_of(call)
         size = len(call.body) + relay.answer_size(reply)
         call.status = reply.status
+        attempt.load.heard = reply.declared
         failed = reply.status >= SERVER_ERROR
         placement.note_outcome(attempt.load, failed, now)
         if not failed:
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import functools
+import math
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
 import capnp
 
+from hornbeamgw.core.declaration import Heard
 from hornbeamgw.core.finding import MAX_FINDINGS, MAX_FINGERPRINTS, Finding, FindingKind
 from hornbeamgw.core.membership import FurtherServer, Member, ServerState, Status
 from hornbeamgw.core.snapshot import Limits
@@ -210,6 +212,12 @@
     out.heartbeat = f.expects_reply
 
 
+def _write_declaration(out: Any, heard: Heard) -> None:
+    out.run, out.leaving = heard.run, heard.is_leaving
+    if heard.rate_limit is not None:
+        out.hasLimit, out.rateLimit = True, heard.rate_limit
+
+
 def _write_call(out: Any, f: frames.Call) -> None:
     call = out.init("call")
     call.attempt = f.attempt
@@ -231,6 +239,8 @@
     call.fingerprint = f.fingerprint
     call.server = f.server
     call.typicalMs = f.typical_service_ms
+    if f.heard is not None:
+        _write_declaration(call.init("heard"), f.heard)
     limits = call.init("limits")
     limits.slots, limits.reserved, limits.queue = f.limits
 
@@ -255,6 +265,8 @@
     reply.freeSlots = f.free_slots
     reply.waitMs = f.wait_ms
     reply.serviceMs = f.service_ms
+    if f.declared is not None:
+        _write_declaration(reply.init("declared"), f.declared)
 
 
 def _write_refusal(out: Any, f: frames.Refusal) -> None:
@@ -402,12 +414,49 @@
 )
 
 
+_read_reply_fields = field_reader(
+    schema.Reply,
+    "attempt",
+    "status",
+    "head",
+    "body",
+    "end",
+    "freeSlots",
+    "waitMs",
+    "serviceMs",
+)
+_heard_field = schema.Call.schema.fields["heard"]
+_declared_field = schema.Reply.schema.fields["declared"]
+
+
+def _read_declaration(raw: Any, field: Any) -> Heard | None:
+    if not raw._has_by_field(field):
+        return None
+    declared = raw._get_by_field(field)
+    limit = declared.rateLimit if declared.hasLimit else None
+    if limit is not None and not 0 <= limit < math.inf:
+        raise ValueError(f"rate limit {limit!r}, expected a finite number of at least 0")
+    return Heard(declared.run, limit, declared.leaving)
+
+
 def _read_call(raw: Any) -> frames.Call:
     *first, limits, fingerprint, server, typical_service_ms = _read_call_fields(raw)
-    values = (*first, Limits(*_read_limits(limits)), fingerprint, server, typical_service_ms)
+    values = (
+        *first,
+        Limits(*_read_limits(limits)),
+        fingerprint,
+        server,
+        typical_service_ms,
+        _read_declaration(raw, _heard_field),
+    )
     return frames.Call(*values)
 
 
+def _read_reply(raw: Any) -> frames.Reply:
+    values = (*_read_reply_fields(raw), _read_declaration(raw, _declared_field))
+    return frames.Reply(*values)
+
+
 def _read_refusal(raw: Any) -> frames.Refusal:
     attempt, may_have_run, reason_name, detail, retry_after_ms, reached, *load = (
         _read_refusal_fields(raw)
@@ -433,18 +482,7 @@
     "heartbeat": frames.Heartbeat,
     "call": _read_call,
     "body": _frame_reader(frames.Body, schema.Body, "attempt", "data", "end", "leaving"),
-    "reply": _frame_reader(
-        frames.Reply,
-        schema.Reply,
-        "attempt",
-        "status",
-        "head",
-        "body",
-        "end",
-        "freeSlots",
-        "waitMs",
-        "serviceMs",
-    ),
+    "reply": _read_reply,
     "refusal": _read_refusal,
     "credit": _frame_reader(frames.Credit, schema.Credit, "attempt", "bytes", "urgent"),
     "cancel": frames.Cancel,
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from hornbeamgw.core import fingerprint
+from hornbeamgw.core.declaration import Heard
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.verdict import Failure
@@ -55,6 +56,8 @@
         Number of the backend server on the receiver's VM.
     typical_service_ms : int
         Typical service time of the route, 0 if unknown.
+    heard : Heard or None
+        What the server declared in its last answer to the sender.
     """
 
     attempt: int
@@ -77,6 +80,7 @@
     fingerprint: int = fingerprint.UNKNOWN
     server: int = 0
     typical_service_ms: int = 0
+    heard: Heard | None = None
 
 
 class Body(NamedTuple):
@@ -99,6 +103,8 @@
         Load of the backend server: its free slots and the expected wait of a new request.
     service_ms : int
         Time for which this request occupied its slot.
+    declared : Heard or None
+        What the server declares.
     """
 
     attempt: int
@@ -109,6 +115,7 @@
     free_slots: int
     wait_ms: int = 0
     service_ms: int = 0
+    declared: Heard | None = None
 
 
 class Refusal(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -95,7 +95,14 @@
         self._crashed_run: Announcement | None = None
         self.counts: Counter[str] = Counter()
         self.counts_by_route: dict[str, Count] = {}
-        self.declarations = ServerDeclarations(dialect, self.counts)
+        self.on_leaving: Callable[[str], None] = lambda instance: None
+        self.declarations = ServerDeclarations(
+            dialect,
+            self.counts,
+            self.state,
+            self._on_limit,
+            self._on_leaving,
+        )
         self.exchange = ServerExchange(
             self.state,
             dialect,
@@ -123,9 +130,12 @@
             self._forget_run(f"{announcement.instance} was started", is_later)
         # An announcement shows that the server runs, even if connections to it were lost.
         breaker.note_sound(self.exchange.breaker)
+        if not is_same or last is None:
+            self.declarations.begin_run(announcement)
         self._last_run = announcement
         self.exchange.instance = announcement.instance
         draining = self._stopping or (is_same and self.state.server_state is ServerState.DRAINING)
+        draining |= self.declarations.is_leaving
         if draining and announcement.state is not ServerState.DRAINING:
             announcement = announcement._replace(state=ServerState.DRAINING)
         self.announcement = announcement
@@ -193,6 +203,15 @@
             self.announcement = self.announcement._replace(state=ServerState.DRAINING)
         self._on_server_change()
 
+    def _on_limit(self) -> None:
+        """Refuse queued requests that exceed a changed rate limit."""
+        self._apply(admission.next_decisions(self.state, asyncio.get_running_loop().time()))
+
+    def _on_leaving(self, instance: str) -> None:
+        if self.announcement is not None and self.state.server_state is not ServerState.DRAINING:
+            self.drain("declared by the backend server")
+        self.on_leaving(instance)
+
     def cut_off(self) -> list[str]:
         """Cancel the running attempts and return their call ids."""
         running = [a for a in self._attempts.values() if a.task is not None]
@@ -307,6 +326,8 @@
         """Admit, queue or refuse a call that has just arrived."""
         link, call, attempt_id = attempt.link, attempt.call, attempt.id
         now = asyncio.get_running_loop().time()
+        if call.heard is not None:
+            self.declarations.note_heard(call.heard, now)
         limits = self._limits(call.entry) or (call.limits if call.limits.slots else None)
         if limits is None:
             failure = not_run(Reason.NOT_READY, f"entry {call.entry}", RETRY_AFTER_NOT_READY_MS)
@@ -409,7 +430,7 @@
         self._refresh_reserved()
         request = admission_request(query, attempt_id, limits, transfer, now)
         outlook = admission.outlook(self.state, request, query.service, now)
-        free = admission.free_slots(self.state)
+        free = admission.free_slots(self.state, now)
         wait_ms = reported_wait_ms(outlook.wait + request.transfer)
         self.counts["outlooks.taken" if outlook.would_admit else "outlooks.refused"] += 1
         return frames.Outlook(
@@ -464,6 +485,9 @@
 
     def _send_failure(self, attempt: GateAttempt, failure: Failure) -> None:
         free, wait_ms = self.exchange.load()
+        if failure.reason is Reason.RATE_LIMITED:
+            # The other daemon need not try again before the caller may.
+            wait_ms = max(wait_ms, failure.retry_after_ms)
         if attempt.task is None:
             log_refused(attempt, failure, wait_ms, self.state)
         attempt.link.send(frames.Refusal(attempt.call.attempt, failure, free, wait_ms))
--- a/hornbeamgw/daemon/gates.py
+++ b/hornbeamgw/daemon/gates.py
@@ -50,6 +50,7 @@
     def __init__(self, open_gate: Callable[[], Gate]) -> None:
         """Open one gate, which the first announced server gets; `open_gate` returns a new gate."""
         self.on_replaced: Callable[[str], None] = lambda instance: None
+        self.on_leaving: Callable[[str], None] = lambda instance: None
         self._open_gate = open_gate
         self._gates_by_number: dict[int, Gate] = {}
         self._unused_since_by_number: dict[int, float] = {}
@@ -60,6 +61,7 @@
     def _open(self) -> Gate:
         gate = self._open_gate()
         gate.exchange.on_replaced = lambda instance: self.on_replaced(instance)
+        gate.on_leaving = lambda instance: self.on_leaving(instance)
         return gate
 
     @property
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -391,7 +391,7 @@
 def _adoption(settings: Settings, own_row: OwnRow | None, dialect: Dialect) -> Adoption | None:
     if not settings.directory or own_row is None or not dialect.instance:
         return None
-    return Adoption(own_row, dialect.instance)
+    return Adoption(own_row, dialect)
 
 
 def _server_registry(
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -14,9 +14,9 @@
 from hornbeamgw.core import admission, breaker, stopping, transfers
 from hornbeamgw.core.admission import AdmissionState
 from hornbeamgw.core.breaker import BreakerState
-from hornbeamgw.core.dialect import Dialect
+from hornbeamgw.core.dialect import AnswerHead, Dialect
 from hornbeamgw.core.transfers import TransferState
-from hornbeamgw.core.verdict import Failure, Reason, may_have_run, not_run
+from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames, heads, server_answer
 from hornbeamgw.daemon.backend_pool import BackendPool, PoolFull
 from hornbeamgw.daemon.declarations import ServerDeclarations
@@ -114,7 +114,7 @@
         """Return the number of free slots and the expected wait of a new request in ms."""
         now = asyncio.get_running_loop().time()
         wait = admission.expected_wait(self._state, now)
-        return admission.free_slots(self._state), reported_wait_ms(wait)
+        return admission.free_slots(self._state, now), reported_wait_ms(wait)
 
     async def run(self, attempt: GateAttempt) -> Failure | None:
         """Forward a request; return None if it was answered, otherwise the failure.
@@ -174,6 +174,15 @@
                 "backend server closes connections early; circuit breaker opened", extra=fields
             )
 
+    def _note_declaration(
+        self, attempt: GateAttempt, answer: AnswerHead, failure: Failure | None
+    ) -> None:
+        """Read what a valid answer declares, unless the request was sent to a former run."""
+        is_valid = failure is None or failure.verdict is Verdict.NOT_RUN
+        if is_valid and attempt.id in self._state.started_by_attempt:
+            now = asyncio.get_running_loop().time()
+            self._declarations.note_answer(answer, failure is None, attempt.started_at, now)
+
     def _held_ms(self, attempt: GateAttempt) -> int:
         now = asyncio.get_running_loop().time()
         return round((now - self._state.started_by_attempt.get(attempt.id, now)) * 1000)
@@ -191,8 +200,8 @@
         is_replaced = answer.status == self._dialect.other_instance_status
         if failure is not None and is_replaced and self.instance:
             self.on_replaced(self.instance)
-        elif attempt.id in self._state.started_by_attempt:
-            self._declarations.note_answer(answer, self.instance)
+        else:
+            self._note_declaration(attempt, answer, failure)
         body, end = server_answer.read_available(connection)
         if failure is not None:
             return failure
@@ -210,6 +219,7 @@
             is_complete,
             *self.load(),
             self._held_ms(attempt),
+            self._declarations.current(),
         )
         attempt.link.send(reply)
         if is_complete:
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -55,6 +55,15 @@
   fingerprint @17 :UInt64;  # hash of the request, 0 if unknown
   server @18 :UInt16;  # number of the backend server beside the receiver
   typicalMs @19 :UInt32;  # typical service time of such a request, 0 if unknown
+  heard @20 :Declaration;  # what the server declared in its last answer to the sender
+}
+
+# What a backend server says of itself in its answers.
+struct Declaration {
+  run @0 :UInt64;  # fingerprint of the server's run, 0 if unknown
+  hasLimit @1 :Bool;
+  rateLimit @2 :Float64;  # requests per second from all daemons together
+  leaving @3 :Bool;
 }
 
 # Asks for the expected wait of a request without admitting it.
@@ -102,6 +111,7 @@
   freeSlots @5 :UInt16;
   waitMs @6 :UInt32;
   serviceMs @7 :UInt32;
+  declared @8 :Declaration;
 }
 
 # Ends an attempt without a response.
--- a/hornbeamgw/testing/mesh_model.py
+++ b/hornbeamgw/testing/mesh_model.py
@@ -244,7 +244,7 @@
     def _report(self, node: int, load: Load) -> None:
         state = self._states[node]
         wait = admission.expected_wait(state, self._now)
-        placement.note_report(load, admission.free_slots(state), wait, self._now)
+        placement.note_report(load, admission.free_slots(state, self._now), wait, self._now)
 
     def _begin(self, node: int, attempt: AttemptId) -> None:
         task, kind = self._tasks[attempt], self._tasks[attempt].kind
--- a/hornbeamgw/testing/simulated.py
+++ b/hornbeamgw/testing/simulated.py
@@ -259,5 +259,5 @@
         """Deliver the load report that accompanies each answer of a server."""
         state = self._states[server]
         wait = admission.expected_wait(state, now)
-        free = admission.free_slots(state)
+        free = admission.free_slots(state, now)
         placement.note_report(self._loads[daemon][server], free, wait, now)
