Let the stand-in server and both soaks declare limits and leaving

A stand-in server names limits and says that it leaves when told to (/control/limit, /control/leave), and counts what ignores it; it can announce a name for its process, as /announce now takes one. The fleet soak lets servers declare beside its other harm, from draws of their own, so that the seeds draw the same harm as before; the planned soak does so on request.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -20,6 +20,16 @@
       | seconds | seed |
       | 12      | 1    |
 
+  # Guards against limits and leaving that a daemon forgets as it is stopped and started again.
+  Scenario Outline: Daemons that are started again keep to what servers declare
+    When daemons stop as planned for <seconds> s by seed <seed> under short calls while servers name limits and leave
+    Then each whole request got a whole answer or a whole refusal, and each daemon stopped in time
+    And servers have named limits and have left
+
+    Examples:
+      | seconds | seed |
+      | 15      | 1    |
+
   # Guards against links that had more to send than a daemon can send while it stops.
   @known_red
   Scenario Outline: Planned work takes no large answer from callers that keep their connections
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -48,6 +48,19 @@
     context.report = context.runner.run(planned_soak.run(seed, seconds, large=False))
 
 
+@when(
+    "daemons stop as planned for {seconds:d} s by seed {seed:d} "
+    "under short calls while servers name limits and leave"
+)
+def under_declarations(context, seconds, seed):
+    context.report = context.runner.run(planned_soak.run(seed, seconds, large=False, declares=True))
+
+
+@then("servers have named limits and have left")
+def have_declared(context):
+    assert context.report.faults["limit"] and context.report.faults["leave"], context.report
+
+
 @when(
     "daemons stop as planned for {seconds:d} s by seed {seed:d} "
     "under short calls and large answers"
--- a/hornbeamgw/daemon/admin.py
+++ b/hornbeamgw/daemon/admin.py
@@ -50,6 +50,7 @@
     connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
     state: Literal["starting", "serving", "draining"]
     ttl_ms: NotRequired[Annotated[int, msgspec.Meta(ge=100, le=600_000)]]
+    instance: NotRequired[Annotated[str, msgspec.Meta(min_length=1, max_length=128)]]
 
 
 DEFAULT_TTL_MS = 10_000
@@ -314,8 +315,12 @@
             values["connections"],
             ServerState[values["state"].upper()],
             asyncio.get_running_loop().time() + ttl,
+            values.get("instance", ""),
         )
-        self._gates.announce(announcement)
+        try:
+            self._gates.announce(announcement)
+        except ValueError as error:
+            return 400, {"error": f"announce: {error}"}
         return 200, {"renew_within_ms": values.get("ttl_ms", DEFAULT_TTL_MS)}
 
     async def _drain(self, query: Query, body: bytes) -> tuple[int, Any]:
--- a/hornbeamgw/testing/backend.py
+++ b/hornbeamgw/testing/backend.py
@@ -12,7 +12,7 @@
 import h11
 import msgspec
 
-from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, HttpConnection, header
+from hornbeamgw.daemon.http1 import ConnectionLost, Headers, HttpClient, HttpConnection, header
 from hornbeamgw.daemon.http_server import (
     HttpServer,
     Timeouts,
@@ -20,6 +20,7 @@
     read_body,
     send_response,
 )
+from hornbeamgw.testing.declaring import Declaring
 
 log = logging.getLogger(__name__)
 
@@ -35,7 +36,8 @@
     """Parameters of a stand-in backend server; times are in seconds.
 
     A request whose body equals `crash_body` crashes the server after `crash_delay`; the server
-    restarts after `restart_delay`.
+    restarts after `restart_delay`. A server with an `instance` name announces itself by it, and by
+    another one after each restart.
     """
 
     service: str
@@ -48,6 +50,7 @@
     crash_body: bytes = b""
     crash_delay: float = 0.02
     restart_delay: float = 0.2
+    instance: str = ""
 
 
 class StandInBackend:
@@ -67,6 +70,9 @@
         self.peak_running = 0
         self.crash_times: list[float] = []
         self.runs_by_body: Counter[bytes] = Counter()
+        self.declaring = Declaring()
+        self._starts = 1
+        self._leave_task: asyncio.Task[None] | None = None
         self._restart_task: asyncio.Task[None] | None = None
         self._announcer = HttpClient(options.daemon_admin, ANNOUNCE_TIMEOUT_S)
         self._server = HttpServer(self._handle, Timeouts())
@@ -95,6 +101,8 @@
             "state": self.state,
             "ttl_ms": ANNOUNCE_TTL_MS,
         }
+        if self.options.instance:
+            document["instance"] = f"{self.options.instance}-{self._starts}"
         try:
             body = msgspec.json.encode(document)
             await self._announcer.request("PUT", "/announce", body=body)
@@ -106,8 +114,9 @@
 
     def close(self) -> None:
         """Stop immediately, without draining."""
-        if self._restart_task is not None:
-            self._restart_task.cancel()
+        for task in (self._restart_task, self._leave_task):
+            if task is not None:
+                task.cancel()
         self._announce_task.cancel()
         self._server.stop_accepting()
         self._server.abort()
@@ -127,9 +136,24 @@
         await asyncio.sleep(self.options.restart_delay)
         self._server = HttpServer(self._handle, Timeouts())
         await self._server.start(self.address)
+        self._starts += 1
         self._restart_task = None
         self._announce_task = asyncio.create_task(self._announce_loop())
 
+    def leave(self, seconds: float) -> None:
+        """Say in answers that this run leaves, and be another run after a time (s)."""
+        self.declaring.set_leaving(True)
+        self._leave_task = asyncio.create_task(self._return_after(seconds))
+
+    async def _return_after(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        while self.running:
+            await asyncio.sleep(0.01)
+        self._server.abort()
+        self.declaring.set_leaving(False)
+        self._starts += 1
+        await self._announce()
+
     async def drain(self) -> None:
         """Announce the drain and wait for the running requests."""
         self.state = "draining"
@@ -139,12 +163,13 @@
 
     async def _handle(self, connection: HttpConnection, request: h11.Request) -> None:
         url = urlsplit(request.target.decode("latin-1"))
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
         if url.path.startswith("/control/"):
-            await self._control(connection, url.path)
+            await self._control(connection, url.path, query)
             return
-        query = {key: values[0] for key, values in parse_qs(url.query).items()}
         request_id = (header(request.headers, REQUEST_ID_HEADER) or b"").decode("latin-1")
         self.runs_by_id[request_id] += 1
+        self.declaring.note_arrival(request_id, asyncio.get_running_loop().time())
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
         if self.state == "draining":
@@ -179,16 +204,22 @@
         if connection.lost:
             raise ConnectionLost
         size = int(query.get("size", "0"))
+        declared = self.declaring.headers(request_id, asyncio.get_running_loop().time())
         if size:
-            await _send_body(connection, size, request_id, "chunked" in query)
+            await _send_body(connection, size, request_id, "chunked" in query, declared)
             return
         document = {"request_id": request_id, "received": len(body)}
-        json_response(connection, 200, document)
+        headers = [(b"content-type", b"application/json"), *declared]
+        send_response(connection, 200, headers, msgspec.json.encode(document))
 
-    async def _control(self, connection: HttpConnection, path: str) -> None:
+    async def _control(self, connection: HttpConnection, path: str, query: dict[str, str]) -> None:
         await read_body(connection, BODY_LIMIT_BYTES)
         if path == "/control/drain":
             await self.drain()
+        elif path == "/control/limit":
+            self.declaring.set_limit(float(query["per_s"]) if "per_s" in query else None)
+        elif path == "/control/leave":
+            self.leave(float(query["for_s"]))
         json_response(connection, 200, self.report())
 
     def report(self) -> dict[str, Any]:
@@ -200,18 +231,24 @@
             "broken": self.broken_ids,
             "worked": self.work_intervals_by_id,
             "after_drain": self.ids_after_drain,
+            "over_limit": self.declaring.over_limit,
+            "limits_named": self.declaring.limits_named,
+            "leavings": self.declaring.leavings,
             "peak": self.peak_running,
             "running": self.running,
         }
 
 
-async def _send_body(connection: HttpConnection, size: int, request_id: str, chunked: bool) -> None:
+async def _send_body(
+    connection: HttpConnection, size: int, request_id: str, chunked: bool, declared: Headers
+) -> None:
     framing = (b"content-length", str(size).encode())
     if chunked:
         framing = (b"transfer-encoding", b"chunked")
-    headers = [framing, (REQUEST_ID_HEADER, request_id.encode())]
+    named = [(REQUEST_ID_HEADER, request_id.encode()), *declared]
+    headers = [framing, *named]
     if size <= CHUNK_BYTES and not chunked:
-        send_response(connection, 200, [(REQUEST_ID_HEADER, request_id.encode())], b"x" * size)
+        send_response(connection, 200, named, b"x" * size)
         return
     connection.send(h11.Response(status_code=200, headers=headers))
     chunk = b"x" * CHUNK_BYTES
--- a/hornbeamgw/testing/command.py
+++ b/hornbeamgw/testing/command.py
@@ -65,6 +65,7 @@
     announced: Annotated[
         str, cappa.Arg(long=True, help="address to announce instead of its own")
     ] = ""
+    instance: Annotated[str, cappa.Arg(long=True, help="name to announce for its process")] = ""
 
     def __call__(self) -> None:
         """Run the stand-in until it is stopped."""
@@ -82,6 +83,7 @@
             self.work_ms / 1000,
             self.cold_start_ms / 1000,
             self.announced,
+            instance=self.instance,
         )
         backend = StandInBackend(options)
         _print_json({"listening": await backend.start()})
--- a/hornbeamgw/testing/fleet.py
+++ b/hornbeamgw/testing/fleet.py
@@ -35,6 +35,7 @@
     slots: int = 6
     connections: int = 130
     work_ms: float = 2.0
+    instance: str = ""
 
 
 class ChildProcess:
@@ -243,6 +244,7 @@
         command += ["--service", spec.service, "--slots", str(spec.slots)]
         command += ["--connections", str(spec.connections), "--work-ms", str(spec.work_ms)]
         command += ["--announced", announced] if announced else []
+        command += ["--instance", spec.instance] if spec.instance else []
         child = await self._spawn("backend", command)
         child.bound_addresses = await self._first_line(child, "listening")
         return child
--- a/properties/fleet_soak.py
+++ b/properties/fleet_soak.py
@@ -12,7 +12,7 @@
 import signal
 import sys
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -32,6 +32,11 @@
 LEAST_ANSWERED_AFTER = 0.9  # of calls, once everything has been put right
 QUIET_CALLS_S = 2.0
 ACCEPT_TRIES = 8
+DECLARERS = 2
+DECLARE_EVERY_S = 0.5
+DECLARED_S = (4.5, 6.0)  # longer than the window in which a limit is judged
+LIMIT_PER_S = (0.5, 20.0)
+LEAVE_PROBABILITY = 0.4
 
 
 class Report(NamedTuple):
@@ -49,6 +54,8 @@
     cut_off: int
     reverted: int
     violations: int
+    over_limit: int
+    after_leaving: int
     not_converged: int
     unserved_after: int
 
@@ -61,6 +68,13 @@
     return {name: getattr(report, name) for name in PROMISES if getattr(report, name)}
 
 
+class Ignored(NamedTuple):
+    """Hold the requests that ignored what servers had declared."""
+
+    over_limit: int
+    after_leaving: int
+
+
 class Soak:
     """Hold a fleet, its proxies, the load and what was seen."""
 
@@ -83,7 +97,8 @@
     async def start(self, count: int) -> None:
         """Start the nodes, with a proxy to each backend server and each daemon's callers' port."""
         for index in range(count):
-            place = NodeSpec(f"dc-{index % 2}", "region", SERVICES[index % len(SERVICES)], 6, 130)
+            service, instance = SERVICES[index % len(SERVICES)], f"i-{index}"
+            place = NodeSpec(f"dc-{index % 2}", "region", service, 6, 130, instance=instance)
             node = Node(place, await self.fleet.start_daemon(place), None)
             self.fleet.nodes.append(node)
             await self._start_server(node)
@@ -178,6 +193,44 @@
         }
         await actions[kind]()
 
+    async def declare(self, rng: random.Random) -> None:
+        """Let servers name limits for a while, and leave, beside daemons that are not harmed."""
+        while True:
+            await asyncio.sleep(rng.expovariate(1 / DECLARE_EVERY_S))
+            node = rng.choice(self.fleet.nodes)
+            if self.harmed[f"busy {node.address}"]:
+                continue
+            self.harmed[f"busy {node.address}"] = 1
+            try:
+                await self._declare_at(node, rng)
+            finally:
+                self.harmed[f"busy {node.address}"] = 0
+
+    async def end_declaring(self, tasks: Iterable[asyncio.Task[None]]) -> None:
+        """End what servers declare, and wait for those that leave to start again."""
+        for task in tasks:
+            task.cancel()
+        for node in self.fleet.nodes:
+            assert node.backend is not None
+            address = node.backend.bound_addresses["listening"]
+            await request_json(address, "POST", "/control/limit", {})
+        await asyncio.sleep(DECLARED_S[1])
+
+    async def _declare_at(self, node: Node, rng: random.Random) -> None:
+        assert node.backend is not None
+        address = node.backend.bound_addresses["listening"]
+        seconds = rng.uniform(*DECLARED_S)
+        if rng.random() < LEAVE_PROBABILITY:
+            self.faults["leave"] += 1
+            await request_json(address, "POST", f"/control/leave?for_s={seconds}", {})
+            await asyncio.sleep(seconds + 1.0)
+            return
+        self.faults["limit"] += 1
+        for limit in (rng.uniform(*LIMIT_PER_S), rng.uniform(*LIMIT_PER_S)):
+            await request_json(address, "POST", f"/control/limit?per_s={limit:g}", {})
+            await asyncio.sleep(seconds)
+        await request_json(address, "POST", "/control/limit", {})
+
     async def edit(self) -> int:
         """Change one limit by a daemon drawn; return the version, 0 where none took it."""
         self.edits += 1
@@ -197,8 +250,8 @@
                     self._in_force[row["address"]] = max(held, row["in_force"])
             await asyncio.sleep(SAMPLE_EVERY_S)
 
-    async def result(self) -> tuple[Audit, int]:
-        """Return the audit of all calls, and what the daemons' own invariants counted."""
+    async def result(self) -> tuple[Audit, int, Ignored]:
+        """Return the audit of all calls, what invariants counted, and what was ignored."""
         servers = [n.backend for n in self.fleet.nodes if n.backend is not None]
         asked = [
             request_json(s.bound_addresses["listening"], "POST", "/control/report", {})
@@ -209,7 +262,11 @@
             *(request_json(n.admin, "GET", "/counters") for n in self.fleet.nodes)
         )
         violations = sum(sum(row["invariants"].values()) for row in rows)
-        return audit(self.load.outcomes, reports), violations
+        over_limit = sum(report["over_limit"] for report in reports)
+        leavings = [leaving for report in reports for leaving in report["leavings"]]
+        after_leaving = sum(len(leaving["late"]) for leaving in leavings)
+        ignored = Ignored(over_limit, after_leaving)
+        return audit(self.load.outcomes, reports), violations, ignored
 
 
 async def edit_limit(
@@ -267,11 +324,16 @@
         raise RuntimeError("the example catalogue is not in force everywhere")
     soak.load.start(WORKERS, PAUSE_S)
     watching = asyncio.create_task(soak.watch())
+    declaring = [
+        asyncio.create_task(soak.declare(random.Random(f"{seed} declarations {number}")))
+        for number in range(DECLARERS)
+    ]
     under_way = []
     for _ in range(steps):
         under_way.append(asyncio.create_task(soak.one_fault()))
         await asyncio.sleep(rng.expovariate(2.0))
     await asyncio.gather(*under_way)
+    await soak.end_declaring(declaring)
     await asyncio.sleep(SETTLE_S)
     version = await soak.edit()
     converged = bool(version) and await fleet.wait_in_force(version, CONVERGENCE_S)
@@ -281,7 +343,7 @@
     watching.cancel()
     after = [o for o in soak.load.outcomes if o.at >= quiet_from]
     served = sum(o.verdict == "answered" for o in after)
-    counted, violations = await soak.result()
+    counted, violations, declared = await soak.result()
     return Report(
         seed,
         steps,
@@ -295,6 +357,8 @@
         soak.cut_off,
         soak.reverted,
         violations,
+        declared.over_limit,
+        declared.after_leaving,
         int(not converged),
         int(served < LEAST_ANSWERED_AFTER * len(after)),
     )
--- a/properties/planned_soak.py
+++ b/properties/planned_soak.py
@@ -26,6 +26,7 @@
 from hornbeamgw.testing.fleet import Fleet, Node, NodeSpec, request_json
 from hornbeamgw.testing.template import render
 from properties.fleet_soak import CONVERGENCE_S, edit_limit, seeds_of
+from properties.planned_declarations import declare, late_at_leaving
 from properties.planned_load import MEAN_LARGE_BYTES, PlannedLoad, Told
 
 TEMPLATE = Path("deploy/daemon.yaml.tmpl")
@@ -45,6 +46,7 @@
 LINK_USE = (0.85, 1.15)
 CROSSING_PART = 0.85  # of large answers: by the links of the server's daemon and of the caller's
 ROLLS = 2
+DECLARERS = 3
 AT_ONCE = (1, 1, 2, 3)
 LEFT_RUNNING = 2
 DEADLINES_S = {"layout": 2.0, "reservation": 5.0, "drawing pack": 5.0, "roster": 3.0}
@@ -141,6 +143,7 @@
         self._order = list(fleet.nodes)
         self.rng.shuffle(self._order)
         self._busy: set[str] = set()
+        self.declares: random.Random | None = None
 
     def _goes_on(self) -> bool:
         return asyncio.get_running_loop().time() < self._ends_at
@@ -204,7 +207,15 @@
         """Do planned work for a time, and let each restart that has begun end."""
         self._ends_at = asyncio.get_running_loop().time() + seconds
         rolls = [self.roll() for _ in range(ROLLS)]
-        await asyncio.gather(*rolls, self.change_settings(), self.edit())
+        declaring = []
+        if self.declares is not None:
+            declaring = [
+                declare(
+                    self.fleet.nodes[number::DECLARERS], self.declares, self._goes_on, self.faults
+                )
+                for number in range(DECLARERS)
+            ]
+        await asyncio.gather(*rolls, self.change_settings(), self.edit(), *declaring)
 
 
 class Records:
@@ -212,6 +223,7 @@
 
     def __init__(self, reports: dict[str, dict[str, Any]]) -> None:
         """Take the report of each server, by the callers' address of the daemon beside it."""
+        self.reports = reports
         self._worked: dict[str, list[tuple[float, float]]] = {}
         self._ran_beside: dict[str, set[str]] = {}
         for address, report in reports.items():
@@ -320,6 +332,22 @@
     return breaches, excused
 
 
+def ignored_declarations(told: list[Told], stops: list[Stop], records: Records) -> list[Breach]:
+    """Return the requests that ignored what servers had declared."""
+    restarts = [(stop.daemon, stop.at) for stop in stops]
+    breaches = []
+    for address, report in records.reports.items():
+        for late, knew_by in late_at_leaving(told, restarts, report):
+            breach = _breach("after_leaving", late, None, records.worked(late))
+            knew = f"its daemon had passed on {knew_by.outcome.request_id}"
+            ago = f"{late.outcome.at - knew_by.ended_at:.2f} s before; server beside {address}"
+            breaches.append(breach._replace(reason=f"{knew} {ago}"))
+        if report["over_limit"]:
+            reason = f"{report['over_limit']} requests over the limit of the server"
+            breaches.append(Breach("over_limit", "", "", address, None, None, 0, 0, reason, [], ""))
+    return breaches
+
+
 def lines_on(breach: Breach, folder: Path) -> list[str]:
     """Return what daemons logged on a call, and what each of them said of its stop."""
     found = []
@@ -351,29 +379,39 @@
 
 
 async def run(
-    seed: int, seconds: float, large: bool = True, logs_folder: Path | None = None
+    seed: int,
+    seconds: float,
+    large: bool = True,
+    logs_folder: Path | None = None,
+    declares: bool = False,
 ) -> Report:
     """Run one seed for a time (s), and print what is known of each promise that it broke.
 
-    Callers have short calls alone, or large answers too, by which links are filled. The logs and
-    settings of a seed that broke a promise are copied to a folder of its own in `logs_folder`.
+    Callers have short calls alone, or large answers too, by which links are filled. Servers may
+    declare limits, and that they leave. The logs and settings of a seed that broke a promise are
+    copied to a folder of its own in `logs_folder`.
     """
     async with Fleet(f"planned-{seed}", _settings()) as fleet:
         indexes = range(NODES)
         places = [NodeSpec(f"dc-{i % 2}", "r", SERVICES[i % len(SERVICES)]) for i in indexes]
+        if declares:
+            places = [spec._replace(instance=f"i-{i}") for i, spec in enumerate(places)]
         await fleet.start_nodes(places)
         answer = await request_json(fleet.nodes[0].admin, "POST", "/edits", _catalogue(seed))
         if not await fleet.wait_in_force(int(answer["version"]), CONVERGENCE_S):
             raise RuntimeError("the example catalogue is not in force everywhere")
-        report = await _carry_out(fleet, seed, seconds, large)
+        report = await _carry_out(fleet, seed, seconds, large, declares)
         if logs_folder is not None and report.broken:
             shutil.copytree(fleet.folder, logs_folder / fleet.name, dirs_exist_ok=True)
         return report
 
 
-async def _carry_out(fleet: Fleet, seed: int, seconds: float, large: bool) -> Report:
+async def _carry_out(
+    fleet: Fleet, seed: int, seconds: float, large: bool, declares: bool
+) -> Report:
     clock = asyncio.get_running_loop().time
     planned = Planned(fleet, seed)
+    planned.declares = random.Random(f"{seed} declarations") if declares else None
     load = PlannedLoad([node.callers for node in fleet.nodes], DEADLINES_S)
     width = MEGABITS * BYTES_PER_MEGABIT
     large_per_s = planned.rng.uniform(*LINK_USE) * width / MEAN_LARGE_BYTES / (1 + CROSSING_PART)
@@ -385,6 +423,7 @@
     await asyncio.sleep(SETTLE_S)
     records = await _records(fleet)
     breaches, excused = judge(load.told, planned.stops, records)
+    breaches += ignored_declarations(load.told, planned.stops, records)
     for breach in breaches:
         _show(breach, Path(fleet.folder))
     left = sum(told.received * records.links_crossed(told) for told in load.told)
@@ -410,10 +449,11 @@
     """Run seeds one after the other; exit code 1 where one broke a promise."""
     text = sys.argv[1] if len(sys.argv) > 1 else "1-5"
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else SECONDS
-    logs_folder = Path(sys.argv[3]) if len(sys.argv) > 3 else None
+    logs_folder = Path(sys.argv[3]) if len(sys.argv) > 3 and sys.argv[3] != "-" else None
+    declares = len(sys.argv) > 4 and sys.argv[4] == "declares"
     failed = 0
     for seed in seeds_of(text):
-        report = asyncio.run(run(seed, seconds, logs_folder=logs_folder))
+        report = asyncio.run(run(seed, seconds, logs_folder=logs_folder, declares=declares))
         print(msgspec.json.encode(report._asdict()).decode(), flush=True)
         failed += bool(report.broken)
     print(f"{len(seeds_of(text)) - failed} passed, {failed} failed")
