Let what others have heard of a limit end with the first answer, and test more of it

A limit that a restarted daemon had from others was set again by each of their calls, so that its first answer, to a request sent before, could not end it: up to 2 s more at nearly 0. What others heard is older than any answer to this daemon, so the first of these ends it.

Scenarios for the next process, expired announcements, health checks, and a server that is found among others at their limits; mutants for each mechanism.

--- a/features/adoption.feature
+++ b/features/adoption.feature
@@ -20,6 +20,7 @@
       | case                          | does                     |
       | Another server at the address | names itself "i-2"       |
       | A server that leaves          | answers 503              |
+      | A server that says it leaves  | says that it leaves      |
       | A server that is gone         | is gone                  |
       | A server that says nothing    | never answers            |
 
@@ -65,6 +66,43 @@
     And a heartbeat of "i-0" comes that was started before
     Then it serves for "i-1"
 
+  # Guards against all that callers ask for at a limited server while its daemon learns the limit.
+  Scenario: A server that names a limit in its answer to the check is taken up with it
+    Given the server there names a limit of 3 a second
+    When the daemon starts again
+    Then it serves for "i-1"
+    And it keeps to 3 a second
+
+  # Guards against a server that leaves and is taken for ready by a heartbeat that says so.
+  Scenario Outline: A server whose answers say that it leaves stays out, whatever heartbeats say
+    When an answer of the server says that it leaves
+    And <happens>
+    And a heartbeat says that it is ready
+    Then it is draining
+
+    Examples:
+      | happens                             |
+      | nothing else happens                |
+      | its registration expires            |
+      | it is heard at another address      |
+
+  Scenario: A server whose answers say that it leaves is not looked for after a restart
+    When an answer of the server says that it leaves
+    And the daemon starts again
+    Then it serves for no one, and has asked no one
+
+  # Guards against a limit of the last process that binds the next.
+  Scenario: The next process of a server that named a limit has none
+    When an answer of the server names a limit of 3 a second
+    And the server is heard as "i-2"
+    Then it has no limit from the process before
+
+  # Guards against a new process that drains because the one before it said that it leaves.
+  Scenario: The next process of a server that said that it leaves is ready
+    When an answer of the server says that it leaves
+    And the server is heard as "i-2"
+    Then it serves for "i-2"
+
   Scenario Outline: A server's change is told to all of a small fleet, or to its data centre first
     Given a member of a fleet of <size>, <near> in its data centre
     When the server beside it changes
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -52,6 +52,15 @@
     And in any 4 seconds the server gets at most 35 requests
     And no request was repeated
 
+  # Guards against calls that fail after some refusals though a server has room.
+  Scenario: The one server that has room is found among others at their limits
+    Given a server that names a limit of 0.5 a second, beside one of two daemons
+    And 6 more daemons beside servers that name the same
+    And a slower server without a limit beside the other daemon
+    When callers of both daemons ask 40 times a second for 3 seconds
+    And 4 times nobody asks for 1.2 seconds, and then 4 callers of each daemon at once
+    Then all of them are answered
+
   # Guards against refusals that come late, or that don't say when to come back.
   Scenario: Where all servers are at their limits, callers are refused at once
     Given a server that names a limit of 15 a second, beside one of two daemons
--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -1,5 +1,11 @@
 Feature: A rate limit lets through what the server takes, the urgent first
 
+  # Guards against a server that leaves and is taken for ready as it announces itself again.
+  Scenario: A server that has said that it leaves drains, also once its announcement has expired
+    Given a gate beside a server that has said that it leaves
+    When its announcement expires, and it announces itself as ready
+    Then the gate drains
+
   # Guards against texts that are no number, which end a daemon's work or lift a limit.
   Scenario Outline: A limit is read from <text>
     Given a server whose answers name 20 a second
@@ -134,3 +140,11 @@
       | not answered yet  | another run  | it has no limit |
       | not answered yet  | a nameless one | it has no limit |
       | answered          | this run     | it has no limit |
+
+  # Guards against a limit that has ended long ago and comes back with each call of others.
+  Scenario: What others have heard ends with the first answer that doesn't say so
+    Given a server that has not answered yet
+    When another daemon has heard a limit of 3 from this run
+    And a request is sent, and another daemon tells again of a limit of 3
+    And an answer to that request names none
+    Then it has no limit
--- a/features/steps/adoption.py
+++ b/features/steps/adoption.py
@@ -11,7 +11,7 @@
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, StoredRow
 from hornbeamgw.core import membership, node
-from hornbeamgw.core.dialect import Dialect
+from hornbeamgw.core.dialect import AnswerHead, Dialect
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.registration import Announcement, Departure, Heartbeat
 from hornbeamgw.core.snapshot import EMPTY_SNAPSHOT
@@ -26,6 +26,7 @@
 HEALTH = {"roster": "/healthz"}
 SILENT_S = 5.0
 ADOPTED_WITHIN_S = 1.0
+DIALECT = Dialect(instance=b"x-instance-id")
 
 
 class Rows:
@@ -55,6 +56,7 @@
     def __init__(self):
         """Start healthy, as i-1."""
         self.name, self.status, self.asked, self.is_silent = b"i-1", 200, 0, False
+        self.declared = []
         self.http = HttpServer(self._answer, Timeouts())
 
     async def _answer(self, connection, request):
@@ -63,7 +65,8 @@
         self.asked += 1
         if self.is_silent:
             await asyncio.sleep(SILENT_S)
-        send_response(connection, self.status, [(b"x-instance-id", self.name)], b"")
+        headers = [(b"x-instance-id", self.name), *self.declared]
+        send_response(connection, self.status, headers, b"")
 
 
 def heartbeat(context, instance="i-1", started=2000, **changed):
@@ -74,14 +77,10 @@
 async def begin(context):
     """Start a daemon's part that knows its server, with nothing known."""
     context.gate = Gate(lambda: EMPTY_SNAPSHOT, lambda: None)
+    spare = iter([context.gate])
+    context.gates = Gates(lambda: next(spare, None) or Gate(lambda: EMPTY_SNAPSHOT, lambda: None))
     row = OwnRow(context.rows, Member(KEY, "suva-1", "fiji", 1))
-    context.taker = ServerRegistry(
-        Gates(lambda: context.gate),
-        None,
-        10,
-        6.0,
-        adoption=Adoption(row, Dialect(instance=b"x-instance-id")),
-    )
+    context.taker = ServerRegistry(context.gates, None, 10, 6.0, adoption=Adoption(row, DIALECT))
     context.writing = asyncio.create_task(row.run())
     try:
         page = await context.rows.read(TABLE, KEY)
@@ -119,6 +118,86 @@
     context.server.status = 503
 
 
+@given("the server there says that it leaves")
+def says_leaving(context):
+    context.server.declared = [(DIALECT.leaving, b"1")]
+
+
+@given("the server there names a limit of {limit:g} a second")
+def names_limit(context, limit):
+    context.server.declared = [(DIALECT.rate_limit, b"%g" % limit)]
+
+
+@then("it keeps to {limit:g} a second")
+def keeps_to(context, limit):
+    assert context.gate.state.rate_limit.limit == limit, context.gate.state.rate_limit.limit
+
+
+@when("an answer of the server says that it leaves")
+def answer_says(context):
+    async def say():
+        now = asyncio.get_running_loop().time()
+        head = AnswerHead(200, [(DIALECT.leaving, b"1")])
+        context.gate.declarations.note_answer(head, True, now, now)
+        await asyncio.sleep(0.01)
+
+    context.sequence = 6
+    context.runner.run(say())
+
+
+@when("an answer of the server names a limit of {limit:g} a second")
+def answer_names(context, limit):
+    async def say():
+        now = asyncio.get_running_loop().time()
+        head = AnswerHead(200, [(DIALECT.rate_limit, b"%g" % limit)])
+        context.gate.declarations.note_answer(head, True, now, now)
+
+    context.runner.run(say())
+    keeps_to(context, limit)
+
+
+@then("it has no limit from the process before")
+def no_limit(context):
+    assert context.gate.state.rate_limit.limit is None, context.gate.state.rate_limit.limit
+
+
+@when("nothing else happens")
+def nothing_happens(context):
+    pass
+
+
+@when("its registration expires")
+def expires(context):
+    async def expire():
+        context.gate.expire(asyncio.get_running_loop().time() + 60)
+        assert context.gate.announcement is None
+
+    context.runner.run(expire())
+
+
+@when("it is heard at another address")
+def moves(context):
+    context.address = "127.0.0.1:9"
+    context.runner.run(told(context, heartbeat(context, sequence=context.sequence)))
+    context.sequence += 1
+
+
+@when("a heartbeat says that it is ready")
+def ready(context):
+    context.runner.run(told(context, heartbeat(context, sequence=context.sequence)))
+
+
+@when('the server is heard as "{instance}"')
+def heard_as(context, instance):
+    context.runner.run(told(context, heartbeat(context, instance, started=3000)))
+
+
+@then("it is draining")
+def is_draining(context):
+    announced = [gate.announcement for gate in context.gates.all if gate.announcement]
+    assert [a.state for a in announced] == [ServerState.DRAINING], announced
+
+
 @given("the server there is gone")
 def gone(context):
     async def stop():
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -27,6 +27,7 @@
         self.headers = b""
         self.status = b"200 OK"
         self.extra = SIGNED
+        self.work_s = WORK_S
         self.arrived = []
         self.answered = []
         self.address = ""
@@ -50,7 +51,7 @@
             while True:
                 headers = await read_request(reader)
                 self.arrived.append(clock())
-                await asyncio.sleep(WORK_S)
+                await asyncio.sleep(self.work_s)
                 call_id = headers.get("x-request-id", "").encode()
                 writer.write(whole(call_id, self.extra + self.headers, self.status))
                 self.answered.append(clock())
@@ -140,6 +141,20 @@
     ask_steadily(context, (context.other,), rate, seconds)
 
 
+@when(
+    "{times:d} times nobody asks for {seconds:g} seconds,"
+    " and then {count:d} callers of each daemon at once"
+)
+def ask_at_once(context, times, seconds, count):
+    async def run():
+        daemons = (context.daemon, context.other) * count
+        for _ in range(times):
+            await asyncio.sleep(seconds)
+            await asyncio.gather(*(ask(context, daemon) for daemon in daemons))
+
+    context.runner.run(run())
+
+
 @given("a caller of the other daemon has had an answer")
 def has_answer(context):
     response = context.runner.run(ask(context, context.other))
@@ -181,20 +196,43 @@
     context.runner.run(restart())
 
 
+async def start_server(context, daemon, instance, headers=b""):
+    server = DeclaringServer()
+    server.headers = headers
+    await server.start()
+    context.closers.append(server.close)
+    registration = Announcement(
+        "roster", server.address, 6, 130, ServerState.SERVING, 1e12, instance
+    )
+    daemon.gates.announce(registration)
+    address = daemon.control.view.me.address
+    for viewer in (context.daemon, context.other):
+        members = viewer.control.view.members_by_address
+        await wait_for(lambda m=members: is_serving(m.get(address)))
+    return server
+
+
+def is_serving(member):
+    return member is not None and member.server_state is ServerState.SERVING
+
+
 @given("a server without a limit beside the other daemon")
 def second_server(context):
-    second = DeclaringServer()
+    context.runner.run(start_server(context, context.other, "i-9"))
+
 
+@given("a slower server without a limit beside the other daemon")
+def slower_server(context):
+    server = context.runner.run(start_server(context, context.other, "i-9"))
+    server.work_s = 5 * WORK_S
+
+
+@given("{count:d} more daemons beside servers that name the same")
+def more_limited(context, count):
     async def start():
-        await second.start()
-        context.closers.append(second.close)
-        registration = Announcement(
-            "roster", second.address, 6, 130, ServerState.SERVING, 1e12, "i-9"
-        )
-        context.other.gates.announce(registration)
-        members = context.daemon.control.view.members_by_address
-        address = context.other.control.view.me.address
-        await wait_for(lambda: members[address].server_state is ServerState.SERVING)
+        for number in range(count):
+            daemon = await context.fleet.start(calls_dialect="mesh", server_service="desk")
+            await start_server(context, daemon, f"m-{number}", context.server.headers)
 
     context.runner.run(start())
 
--- a/features/steps/rate_limits.py
+++ b/features/steps/rate_limits.py
@@ -13,9 +13,11 @@
 from hornbeamgw.core.dialect import HORNBEAMGW, AnswerHead
 from hornbeamgw.core.membership import ServerState
 from hornbeamgw.core.registration import Announcement
+from hornbeamgw.core.snapshot import EMPTY_SNAPSHOT
 from hornbeamgw.core.verdict import Reason, Verdict
 from hornbeamgw.daemon import codec, frames
 from hornbeamgw.daemon.declarations import ServerDeclarations
+from hornbeamgw.daemon.gate import Gate
 from hornbeamgw.testing import simulated
 from hornbeamgw.testing.simulated import HIGH_LIMITS
 
@@ -86,6 +88,35 @@
     assert not context.left
 
 
+@given("a gate beside a server that has said that it leaves")
+def gate_of_leaving(context):
+    async def begin_gate():
+        context.gate = Gate(lambda: EMPTY_SNAPSHOT, lambda: None)
+        context.announced = Announcement(
+            "lookup", "10.0.0.1:1", 6, 9, ServerState.SERVING, 1e9, "i-1"
+        )
+        context.gate.announce(context.announced)
+        said = AnswerHead(200, [(HORNBEAMGW.leaving, b"1")])
+        context.gate.declarations.note_answer(said, True, 1.0, 1.0)
+
+    context.runner.run(begin_gate())
+
+
+@when("its announcement expires, and it announces itself as ready")
+def announces_again(context):
+    async def again():
+        context.gate.expire(2e9)
+        assert context.gate.announcement is None
+        context.gate.announce(context.announced)
+
+    context.runner.run(again())
+
+
+@then("the gate drains")
+def gate_drains(context):
+    assert context.gate.state.server_state is ServerState.DRAINING, context.gate.announcement
+
+
 @then("its limit is {limit:g}")
 def has_limit(context, limit):
     assert context.state.rate_limit.limit == limit, context.state.rate_limit.limit
@@ -291,6 +322,18 @@
     hear(context, answer())
 
 
+@when("a request is sent, and another daemon tells again of a limit of {limit:g}")
+def tells_again(context, limit):
+    context.sent_at = context.now
+    context.now += 0.5
+    heard_elsewhere(context, limit, "this run")
+
+
+@when("an answer to that request names none")
+def names_none_to_that(context):
+    hear(context, answer(), sent_at=context.sent_at)
+
+
 RUNS = {
     "this run": run_fingerprint("i-1", 0),
     "another run": run_fingerprint("i-0", 0),
--- a/hornbeamgw/core/rate_limit.py
+++ b/hornbeamgw/core/rate_limit.py
@@ -51,10 +51,9 @@
 
 def name(state: RateLimitState, limit: float, now: float) -> None:
     """Set the limit that the server declares now; it begins with a single token."""
-    tokens = _tokens(state, now) if is_limited(state) else 1.0
+    state.tokens = _tokens(state, now) if is_limited(state) else 1.0
+    state.tokens_at = state.named_at = now
     state.limit = limit
-    state.tokens, state.tokens_at = min(tokens, _burst(state)), now
-    state.named_at = now
 
 
 def end(state: RateLimitState, sent_at: float) -> None:
--- a/hornbeamgw/daemon/declarations.py
+++ b/hornbeamgw/daemon/declarations.py
@@ -81,12 +81,14 @@
         """
         declared = declaration.read(self._dialect, answer.headers)
         is_certain = has_run and is_from_server(self._dialect, answer)
+        # What others have heard is older than any answer to this daemon.
+        is_newest = not self._has_answered
         self._has_answered |= is_certain or declared != NOTHING
         self._log_change(declared)
         if declared.rate_limit is not None:
             self._set_limit(declared.rate_limit, now)
         elif is_certain and not declared.problem:
-            self._end_limit(sent_at)
+            self._end_limit(now if is_newest else sent_at)
         if declared.is_leaving:
             self._leave()
 
@@ -106,7 +108,8 @@
             return
         if heard.is_leaving:
             self._leave()
-        if heard.rate_limit is not None and not self._has_answered:
+        is_new = heard.rate_limit != self._state.rate_limit.limit
+        if heard.rate_limit is not None and is_new and not self._has_answered:
             self._set_limit(heard.rate_limit, now)
 
     def _set_limit(self, limit: float, now: float) -> None:
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -37,6 +37,8 @@
 STOPPING = "features/stopping.feature"
 OVERLAPS = "features/stopping_overlaps.feature"
 CONTAINMENT = "features/containment.feature"
+LIMITS = "features/limits.feature"
+RATE_LIMITS = "features/rate_limits.feature"
 
 
 class Mutant(NamedTuple):
@@ -49,6 +51,127 @@
 
 
 MUTANTS = (
+    Mutant(
+        "what a server says in its answers is read",
+        "hornbeamgw/daemon/server_exchange.py",
+        (
+            (
+                "        if is_valid and attempt.id in self._state",
+                "        if False and self._state",
+            ),
+        ),
+        LIMITS,
+    ),
+    Mutant(
+        "a server gets no more requests per second than it takes",
+        "hornbeamgw/core/rate_limit.py",
+        (("missing / _rate(state) if missing > ROUNDING_TOLERANCE else 0.0", "0.0"),),
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "tokens are left to more urgent requests",
+        "hornbeamgw/core/rate_limit.py",
+        (("    return (_burst(state) - 1) * more_urgent", "    return 0.0 * more_urgent"),),
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "what waits when a limit is named is refused beyond it",
+        "hornbeamgw/core/admission.py",
+        (
+            (
+                "    over_limit = rate_limit.excess(state",
+                "    over_limit = [] and rate_limit.excess(state",
+            ),
+        ),
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "an answer that was overtaken ends no limit",
+        "hornbeamgw/core/rate_limit.py",
+        (("    if sent_at > state.named_at:", "    if True:"),),
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "an answer that is not the server's own ends no limit",
+        "hornbeamgw/daemon/declarations.py",
+        (("has_run and is_from_server(self._dialect, answer)", "True"),),
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "a server that takes next to nothing is asked from time to time",
+        "hornbeamgw/core/rate_limit.py",
+        (("max(state.limit, MIN_RATE_PER_S)", "max(state.limit, 1e-9)"),),
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "refused callers are told different times",
+        "hornbeamgw/core/rate_limit.py",
+        (
+            (
+                "            retry_at = max(retry_at, last_at",
+                "            retry_at = min(retry_at, last_at",
+            ),
+        ),
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "what others have heard holds until the server has answered",
+        "hornbeamgw/daemon/declarations.py",
+        (
+            (
+                "is_new and not self._has_answered",
+                "is_new",
+            ),
+        ),
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "a daemon that was started again learns what others have heard",
+        "hornbeamgw/daemon/calls.py",
+        (("            attempt.load.heard,\n", "            None,\n"),),
+        LIMITS,
+    ),
+    Mutant(
+        "a server that says that it leaves drains",
+        "hornbeamgw/daemon/declarations.py",
+        (
+            (
+                "        if declared.is_leaving:\n            self._leave()",
+                "        if False:\n            pass",
+            ),
+        ),
+        LIMITS,
+    ),
+    Mutant(
+        "the next process of a server has no limit",
+        "hornbeamgw/core/admission.py",
+        (("S\n    state.rate_limit = RateLimitState()\n", "S\n"),),
+        ADOPTION,
+    ),
+    Mutant(
+        "a call looks on for a server that has room though others are at their limits",
+        "hornbeamgw/daemon/calls.py",
+        (("            if failure.reason is Reason.RATE_LIMITED:", "            if False:"),),
+        LIMITS,
+    ),
+    Mutant(
+        "a server that leaves stays out, whatever its heartbeats say",
+        "hornbeamgw/daemon/gate.py",
+        (("        draining |= self.declarations.is_leaving\n", ""),),
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "a server that leaves is recorded as draining",
+        "hornbeamgw/daemon/announcements.py",
+        (("            registration.drain(self._state_at(registered_address), instance)\n", ""),),
+        ADOPTION,
+    ),
+    Mutant(
+        "what a server says in a health check holds",
+        "hornbeamgw/daemon/announcements.py",
+        (("            gate.declarations.note_check(declared, now)\n", ""),),
+        ADOPTION,
+    ),
     Mutant(
         "a daemon beside a server accepts only what its link can send in a stop",
         "hornbeamgw/daemon/gate.py",
