--- a/features/limits.feature
+++ b/features/limits.feature
@@ -56,9 +56,9 @@
   Scenario: The one server that has room is found among others at their limits
     Given a server that names a limit of 0.5 a second, beside one of two daemons
     And 6 more daemons beside servers that name the same
-    And a slower server without a limit beside the other daemon
-    When callers of both daemons ask 40 times a second for 3 seconds
-    And 4 times nobody asks for 1.2 seconds, and then 4 callers of each daemon at once
+    And a server without a limit beside the other daemon
+    When callers of both daemons ask 15 times a second for 3 seconds
+    And 4 times nobody asks for 1.2 seconds, and then a caller of each daemon, while all tokens are used and that server is taken for slow
     Then all of them are answered
 
   # Guards against refusals that come late, or that don't say when to come back.
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -9,6 +9,7 @@
 from answers import BODIES, SIGNED, put, read_request, whole
 from behave import given, then, when
 
+from hornbeamgw.core import rate_limit
 from hornbeamgw.core.membership import ServerState
 from hornbeamgw.core.registration import Announcement
 from hornbeamgw.daemon import heads
@@ -17,6 +18,12 @@
 
 LIMIT_S = 5.0
 WORK_S = 0.02
+MESH = {
+    "calls_dialect": "mesh",
+    "server_service": "desk",
+    "calls_balancing": "expected_finish",
+    "calls_queueing": "objective",
+}
 
 
 class DeclaringServer:
@@ -27,7 +34,6 @@
         self.headers = b""
         self.status = b"200 OK"
         self.extra = SIGNED
-        self.work_s = WORK_S
         self.arrived = []
         self.answered = []
         self.address = ""
@@ -51,7 +57,7 @@
             while True:
                 headers = await read_request(reader)
                 self.arrived.append(clock())
-                await asyncio.sleep(self.work_s)
+                await asyncio.sleep(WORK_S)
                 call_id = headers.get("x-request-id", "").encode()
                 writer.write(whole(call_id, self.extra + self.headers, self.status))
                 self.answered.append(clock())
@@ -68,9 +74,8 @@
         await context.server.start()
         context.server.headers = headers
         context.closers.append(context.server.close)
-        mesh = {"calls_dialect": "mesh", "server_service": "desk"}
-        context.daemon = await context.fleet.start(announcements="127.0.0.1:0", **mesh)
-        context.other = await context.fleet.start(**mesh)
+        context.daemon = await context.fleet.start(announcements="127.0.0.1:0", **MESH)
+        context.other = await context.fleet.start(**MESH)
         context.daemon_addresses = context.fleet.addresses[0]
         context.server_address = context.server.address
         await context.daemon.committer.commit(edit_from_bodies(BODIES, "e"))
@@ -143,14 +148,23 @@
 
 @when(
     "{times:d} times nobody asks for {seconds:g} seconds,"
-    " and then {count:d} callers of each daemon at once"
+    " and then a caller of each daemon,"
+    " while all tokens are used and that server is taken for slow"
 )
-def ask_at_once(context, times, seconds, count):
+def ask_at_once(context, times, seconds):
     async def run():
-        daemons = (context.daemon, context.other) * count
         for _ in range(times):
             await asyncio.sleep(seconds)
-            await asyncio.gather(*(ask(context, daemon) for daemon in daemons))
+            now = asyncio.get_running_loop().time()
+            for daemon in context.fleet.daemons:
+                if daemon is not context.other:
+                    rate_limit.name(daemon.gate.state.rate_limit, 0.5, now)
+                    daemon.gate.state.rate_limit.tokens = 0.0
+            for daemon in (context.daemon, context.other):
+                for key, (_, load) in daemon.calls._servers._loads_by_key.items():
+                    is_free = key.startswith(context.other.control.view.me.address)
+                    load.slowness = 3.0 if is_free else 1.0
+            await asyncio.gather(ask(context, context.daemon), ask(context, context.other))
 
     context.runner.run(run())
 
@@ -177,10 +191,7 @@
         address = context.fleet.addresses[0]["address"]
         await context.fleet.crash(context.daemon)
         context.daemon = await context.fleet.start(
-            address=address,
-            announcements="127.0.0.1:0",
-            calls_dialect="mesh",
-            server_service="desk",
+            address=address, announcements="127.0.0.1:0", **MESH
         )
         context.daemon_addresses = context.fleet.addresses[-1]
         assert (await put(context, "i-1", 2)).status == 200
@@ -209,7 +220,6 @@
     for viewer in (context.daemon, context.other):
         members = viewer.control.view.members_by_address
         await wait_for(lambda m=members: is_serving(m.get(address)))
-    return server
 
 
 def is_serving(member):
@@ -221,17 +231,11 @@
     context.runner.run(start_server(context, context.other, "i-9"))
 
 
-@given("a slower server without a limit beside the other daemon")
-def slower_server(context):
-    server = context.runner.run(start_server(context, context.other, "i-9"))
-    server.work_s = 5 * WORK_S
-
-
 @given("{count:d} more daemons beside servers that name the same")
 def more_limited(context, count):
     async def start():
         for number in range(count):
-            daemon = await context.fleet.start(calls_dialect="mesh", server_service="desk")
+            daemon = await context.fleet.start(**MESH)
             await start_server(context, daemon, f"m-{number}", context.server.headers)
 
     context.runner.run(start())
