--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
-from hornbeamgw.core import admission, breaker, exposure, stopping, tally
+from hornbeamgw.core import admission, breaker, exposure, stopping
 from hornbeamgw.core.admission import AdmissionState, Admitted, AttemptId, Decision, Refused
 from hornbeamgw.core.dialect import HORNBEAMGW, Dialect
 from hornbeamgw.core.exposure import ExposureBound, ExposureState
@@ -15,9 +15,10 @@
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.registration import Announcement, is_renewal, is_same_run
 from hornbeamgw.core.snapshot import Limits, Snapshot
-from hornbeamgw.core.tally import Count, Tally
+from hornbeamgw.core.tally import Tally
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames
+from hornbeamgw.daemon.answer_counts import AnswerCounts
 from hornbeamgw.daemon.declarations import ServerDeclarations
 from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.gate_attempt import (
@@ -94,7 +95,7 @@
         self._last_run: Announcement | None = None
         self._crashed_run: Announcement | None = None
         self.counts: Counter[str] = Counter()
-        self.counts_by_route: dict[str, Count] = {}
+        self._answer_counts = AnswerCounts()
         self.on_leaving: Callable[[str], None] = lambda instance: None
         self.declarations = ServerDeclarations(
             dialect,
@@ -157,7 +158,7 @@
             extra={"why": why, "is_over": is_over},
         )
         self.exchange.forget_run()
-        self.counts_by_route.clear()
+        self._answer_counts = AnswerCounts()
         self.quarantine.forget_run()
         admission.forget_run(self.state)
         if not is_over:
@@ -530,7 +531,7 @@
             failure = task.result()
         now = asyncio.get_running_loop().time()
         log_end(attempt, failure, now)
-        self._count_outcome(attempt, failure, now)
+        self._answer_counts.count_ended(attempt, failure, self.state.warm_at, now)
         if failure is None and attempt.status < SERVER_ERROR:
             self.quarantine.record_answer(attempt.call.fingerprint)
         if failure is not None and failure.reason in (Reason.CALLER_GONE, Reason.DEADLINE):
@@ -557,40 +558,14 @@
         """
         closed = exposure.closed_step(self._exposure_state, announced.service, announced.software)
         unsafe = sum(not attempt.call.idempotent for attempt in self._attempts.values())
-        counts = dict(self.counts_by_route)
+        counts = dict(self._answer_counts.by_route)
         return Tally(
             announced.service, number, announced.software, counts, closed, unsafe if closed else 0
         )
 
     def count_overdue(self, now: float) -> None:
         """Count running attempts that already exceed the threshold for a slow answer."""
-        for attempt in self._attempts.values():
-            call = attempt.call
-            if attempt.task is None or attempt.is_counted or attempt.answered_at:
-                continue
-            is_cold = attempt.started_at < self.state.warm_at
-            limit = tally.slow_threshold(
-                call.typical_service_ms / 1000, call.latency_objective_ms / 1000, is_cold
-            )
-            if now - attempt.started_at > limit:
-                attempt.is_counted = True
-                tally.record(self.counts_by_route, call.route, True)
-
-    def _count_outcome(self, attempt: GateAttempt, failure: Failure | None, now: float) -> None:
-        """Count the outcome of an attempt if the server is responsible for it."""
-        if attempt.is_counted:
-            return
-        answered_at = attempt.answered_at or now
-        elapsed, typical = answered_at - attempt.started_at, attempt.call.typical_service_ms / 1000
-        is_cold = attempt.started_at < self.state.warm_at
-        latency_objective = attempt.call.latency_objective_ms / 1000
-        bad = tally.is_bad(
-            tally.AttemptOutcome(
-                failure, attempt.status, elapsed, typical, latency_objective, is_cold
-            )
-        )
-        if bad is not None:
-            tally.record(self.counts_by_route, attempt.call.route, bad)
+        self._answer_counts.count_overdue(self._attempts.values(), self.state.warm_at, now)
 
     def _remove_when_sent(self, attempt: GateAttempt, failure: Failure | None) -> None:
         """Remove an attempt after the rest of its answer is sent, or immediately if it failed."""
