--- a/hornbeamgw/daemon/admin.py
+++ b/hornbeamgw/daemon/admin.py
@@ -14,7 +14,7 @@
 import h11
 import msgspec
 
-from hornbeamgw.core import balancing, invariants, membership, versions
+from hornbeamgw.core import balancing, invariants, membership, rate_limit, versions
 from hornbeamgw.core.catalogue import Name, to_file
 from hornbeamgw.core.edit import Edit, Rejection, decode_delta
 from hornbeamgw.core.fingerprint import as_text
@@ -135,6 +135,9 @@
             exposition.gauge("slots", sum(gate.slots for gate in gates)),
             exposition.gauge("running", sum(len(gate.running_by_attempt) for gate in gates)),
             exposition.gauge("waiting", sum(len(gate.queue) for gate in gates)),
+            exposition.gauge(
+                "rate_limited", sum(rate_limit.is_limited(gate.rate_limit) for gate in gates)
+            ),
             *exposition.histograms(self._calls.histograms.rows()),
         ]
         return "\n".join([*lines, ""]).encode()
