Excuse a daemon that was started again since it passed on that a server leaves

The planned soak counted what a daemon's former process had passed on after SIGTERM against the next one; a restart excuses it. A scenario judges both sides.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -67,6 +67,20 @@
       | 99.0  | 101.0  | not run        | 0     | 0     | nothing       |
       | 99.0  | 101.0  | answered       | 99.0  | 100.9 | nothing       |
 
+  Scenario Outline: Of requests that a leaving server gets, the soak counts those whose daemon knew
+    Given a daemon that was told to stop at 100 s and ended at 106 s
+    When it passed on at <told> s that a server leaves, which gets a request of its at <sent> s
+    Then the soak counts <count> requests to a leaving server
+
+    Examples:
+      | told  | sent  | count |
+      | 90.0  | 93.0  | 1     |
+      | 90.0  | 91.5  | 0     |
+      | 99.0  | 102.0 | 1     |
+      | 99.0  | 110.0 | 0     |
+      | 101.0 | 110.0 | 0     |
+      | 107.0 | 110.0 | 1     |
+
   Scenario: The soak counts false tales, second runs and what nobody ended
     Given a daemon that was told to stop at 100 s and ended at 106 s
     Then a request told "not run" that ran is "said_not_run_but_ran"
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -116,6 +116,27 @@
     assert context.judged == expected, context.judged
 
 
+@when(
+    "it passed on at {told_at:g} s that a server leaves, which gets a request of its at {sent:g} s"
+)
+def gets_late(context, told_at, sent):
+    knew, late = told("layout", told_at, told_at, "answered"), told(
+        "layout", sent, sent, "answered"
+    )
+    knew = knew._replace(outcome=knew.outcome._replace(request_id="knew"))
+    leaving = {"told": ["knew"], "late": [REQUEST_ID]}
+    report = {"worked": {}, "leavings": [leaving], "over_limit": 0}
+    breaches = planned_soak.ignored_declarations(
+        [knew, late], [context.stop], Records({DAEMON: report})
+    )
+    context.promises = [breach.promise for breach in breaches]
+
+
+@then("the soak counts {count:d} requests to a leaving server")
+def counts_late(context, count):
+    assert context.promises == ["after_leaving"] * count, context.promises
+
+
 @then('a request told "not run" that ran is "{promise}"')
 def false_tale(context, promise):
     found = judged(told("layout", 99.0, 101.0, "not run"), [context.stop], [(99.0, 99.1)])
--- a/properties/planned_declarations.py
+++ b/properties/planned_declarations.py
@@ -49,12 +49,12 @@
 
 
 def late_at_leaving(
-    told: Sequence[Told], restarts: Sequence[tuple[str, float]], report: Mapping[str, Any]
+    told: Sequence[Told], ends: Sequence[tuple[str, float]], report: Mapping[str, Any]
 ) -> list[Late]:
     """Return the requests that a server got from daemons that knew for long that it leaves.
 
-    `restarts` has the callers' address of a daemon and when it was told to stop; a daemon that was
-    started again knows of nothing that it has passed on before.
+    `ends` has the callers' address of a daemon and when one of its processes ended (s); the next
+    one knows nothing of what was passed on before.
     """
     told_by_id = {one.outcome.request_id: one for one in told}
     found = []
@@ -63,13 +63,13 @@
         for call_id in leaving["late"]:
             late = told_by_id.get(call_id)
             if late is not None:
-                found += [Late(late, one) for one in knew if _is_known(late, one, restarts)][:1]
+                found += [Late(late, one) for one in knew if _is_known(late, one, ends)][:1]
     return found
 
 
-def _is_known(late: Told, one: Told, restarts: Sequence[tuple[str, float]]) -> bool:
+def _is_known(late: Told, one: Told, ends: Sequence[tuple[str, float]]) -> bool:
     """Return whether the daemon of a late request had passed on an answer long before."""
-    stopped_at = [at for daemon, at in restarts if daemon == late.daemon and at <= late.outcome.at]
-    since = max(stopped_at, default=0.0)
+    ended_at = [at for daemon, at in ends if daemon == late.daemon and at <= late.outcome.at]
+    since = max(ended_at, default=0.0)
     is_long_before = one.ended_at + DRAIN_S < late.outcome.at
     return one.daemon == late.daemon and one.outcome.at >= since and is_long_before
--- a/properties/planned_soak.py
+++ b/properties/planned_soak.py
@@ -334,10 +334,10 @@
 
 def ignored_declarations(told: list[Told], stops: list[Stop], records: Records) -> list[Breach]:
     """Return the requests that ignored what servers had declared."""
-    restarts = [(stop.daemon, stop.at) for stop in stops]
+    ends = [(stop.daemon, stop.ended_at) for stop in stops]
     breaches = []
     for address, report in records.reports.items():
-        for late, knew_by in late_at_leaving(told, restarts, report):
+        for late, knew_by in late_at_leaving(told, ends, report):
             breach = _breach("after_leaving", late, None, records.worked(late))
             knew = f"its daemon had passed on {knew_by.outcome.request_id}"
             ago = f"{late.outcome.at - knew_by.ended_at:.2f} s before; server beside {address}"
