--- a/features/steps/rate_limits.py
+++ b/features/steps/rate_limits.py
@@ -343,4 +343,8 @@
 
 @when("another daemon has heard a limit of {limit:g} from {run}")
 def heard_elsewhere(context, limit, run):
+    before = context.state.rate_limit.limit
     context.declarations.note_heard(Heard(RUNS[run], limit, False), context.now)
+    is_learned = context.state.rate_limit.limit != before
+    context.learned = getattr(context, "learned", 0) + is_learned
+    assert context.counts["declarations.heard"] == context.learned, context.counts
--- a/hornbeamgw/daemon/declarations.py
+++ b/hornbeamgw/daemon/declarations.py
@@ -83,8 +83,9 @@
         is_certain = has_run and is_from_server(self._dialect, answer)
         # What others have heard is older than any answer to this daemon.
         is_newest = not self._has_answered
-        self._has_answered |= is_certain or declared != NOTHING
-        self._log_change(declared)
+        if is_certain or declared != NOTHING:
+            self._has_answered = True
+            self._log_change(declared)
         if declared.rate_limit is not None:
             self._set_limit(declared.rate_limit, now)
         elif is_certain and not declared.problem:
@@ -106,11 +107,19 @@
         """
         if heard.run == UNKNOWN or heard.run != self._run:
             return
+        is_new = heard.rate_limit != self._state.rate_limit.limit
+        limit = heard.rate_limit if is_new and not self._has_answered else None
+        if limit is None and (self.is_leaving or not heard.is_leaving):
+            return
+        self._counts["declarations.heard"] += 1
+        log.info(
+            "learned from another daemon what the backend server has declared",
+            extra={"instance": self._instance, **heard._asdict()},
+        )
         if heard.is_leaving:
             self._leave()
-        is_new = heard.rate_limit != self._state.rate_limit.limit
-        if heard.rate_limit is not None and is_new and not self._has_answered:
-            self._set_limit(heard.rate_limit, now)
+        if limit is not None:
+            self._set_limit(limit, now)
 
     def _set_limit(self, limit: float, now: float) -> None:
         before = self._state.rate_limit.limit
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -119,8 +119,8 @@
         "hornbeamgw/daemon/declarations.py",
         (
             (
-                "is_new and not self._has_answered",
-                "is_new",
+                "heard.rate_limit if is_new and not self._has_answered else None",
+                "heard.rate_limit if is_new else None",
             ),
         ),
         RATE_LIMITS,
