--- a/hornbeamgw/daemon/__main__.py
+++ b/hornbeamgw/daemon/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import sys
-from pathlib import Path
 
 from hornbeamgw.core.options import parse_settings
 from hornbeamgw.daemon.main import run
@@ -16,13 +15,14 @@
     if len(arguments) != 1:
         print("usage: python -m hornbeamgw.daemon SETTINGS", file=sys.stderr)
         return EXIT_USAGE
-    path = Path(arguments[0])
-    loaded, problems = parse_settings(path.read_text(encoding="utf-8"), str(path))
+    path = arguments[0]
+    with open(path, encoding="utf-8") as file:
+        loaded, problems = parse_settings(file.read(), path)
     if loaded is None:
         for problem in problems:
             print(problem, file=sys.stderr)
         return EXIT_USAGE
-    return run(loaded.settings, path=str(path))
+    return run(loaded.settings, path=path)
 
 
 sys.exit(main(sys.argv[1:]))
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -4,8 +4,8 @@
 
 import functools
 import math
+import os
 from collections.abc import Callable, Sequence
-from pathlib import Path
 from typing import Any
 
 import capnp
@@ -19,8 +19,9 @@
 from hornbeamgw.daemon import frames
 
 capnp.remove_import_hook()
-# importlib.resources would import 14 modules that the daemon doesn't need otherwise.
-schema = capnp.load(str(Path(__file__).parents[1] / "schema" / "messages.capnp"))
+# importlib.resources would import 14 modules that the daemon doesn't need otherwise, pathlib three.
+PACKAGE_FOLDER = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+schema = capnp.load(os.path.join(PACKAGE_FOLDER, "schema", "messages.capnp"))
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 LENGTH_PREFIX_BYTES = 4
--- a/hornbeamgw/daemon/loop.py
+++ b/hornbeamgw/daemon/loop.py
@@ -6,7 +6,6 @@
 import gc
 import os
 from collections.abc import Coroutine
-from pathlib import Path
 from typing import Any, TypeVar
 
 T = TypeVar("T")
@@ -14,12 +13,13 @@
 # Calls create few reference cycles, so the garbage collector runs less often than by default (every
 # 700 allocations).
 GC_THRESHOLD = 20_000
+OPEN_FILES = "/proc/self/fd"
 IO_URING_FD_TARGET = "anon_inode:[io_uring]"
 
 
 def _uses_io_uring() -> bool:
-    entries = Path("/proc/self/fd").iterdir()
-    return any(entry.is_symlink() and os.readlink(entry) == IO_URING_FD_TARGET for entry in entries)
+    paths = [os.path.join(OPEN_FILES, name) for name in os.listdir(OPEN_FILES)]
+    return any(os.path.islink(path) and os.readlink(path) == IO_URING_FD_TARGET for path in paths)
 
 
 def run(main: Coroutine[Any, Any, T]) -> T:
--- a/hornbeamgw/daemon/reload.py
+++ b/hornbeamgw/daemon/reload.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import logging
+import os
 from collections.abc import Callable
-from pathlib import Path
 
 from hornbeamgw.core.options import Settings, parse_settings
 from hornbeamgw.daemon.containment import run_every
@@ -27,17 +27,17 @@
     def __init__(self, path: str, settings: Settings, apply: Callable[[Settings], None]) -> None:
         """Store the file's path, its current settings, and the callback for new settings."""
         self.settings = settings
-        self._path = Path(path)
+        self._path = path
         self._apply = apply
         self._mtime_ns = self._read_mtime_ns()
 
     def _read_mtime_ns(self) -> int:
         try:
-            return self._path.stat().st_mtime_ns
+            return os.stat(self._path).st_mtime_ns
         except OSError as error:
             log.warning(
                 "settings file is not accessible",
-                extra={"path": str(self._path), "error": str(error)},
+                extra={"path": self._path, "error": str(error)},
             )
             return 0
 
@@ -54,14 +54,15 @@
     def reload(self, why: str) -> None:
         """Reload the file; keep the settings in force if it is invalid. `why` is logged."""
         try:
-            text = self._path.read_text(encoding="utf-8")
+            with open(self._path, encoding="utf-8") as file:
+                text = file.read()
         except (OSError, UnicodeDecodeError) as error:
             log.error(
                 "settings file cannot be read; keeping the settings in force",
                 extra={"error": str(error)},
             )
             return
-        loaded, problems = parse_settings(text, str(self._path))
+        loaded, problems = parse_settings(text, self._path)
         if loaded is None:
             lines = [str(problem) for problem in problems]
             log.error(
