Let the stand-in server have room for so many requests, and count what exceeds it

The stand-in worked on any number of requests at once, and nothing read its peak. Tests only; no logic of the product is changed.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
     overload,
     policies,
     rollouts,
+    room,
     start,
 )
 from benchmarks.report import benchmarks_by_name
--- a/hornbeamgw/testing/backend.py
+++ b/hornbeamgw/testing/backend.py
@@ -21,6 +21,7 @@
     send_response,
 )
 from hornbeamgw.testing.declaring import Declaring
+from hornbeamgw.testing.room import OnClose, Room
 
 log = logging.getLogger(__name__)
 
@@ -30,6 +31,7 @@
 ANNOUNCE_TTL_MS = 5000
 ANNOUNCE_TIMEOUT_S = 2.0
 REQUEST_ID_HEADER = b"x-request-id"
+FULL_STATUS = 503
 
 
 class BackendOptions(NamedTuple):
@@ -37,7 +39,8 @@
 
     A request whose body equals `crash_body` crashes the server after `crash_delay`; the server
     restarts after `restart_delay`. A server with an `instance` name announces itself by it, and by
-    another one after each restart.
+    another one after each restart. It works on all its requests at once unless the length of its
+    `queue` is given: it then refuses requests that find its slots and its queue full.
     """
 
     service: str
@@ -51,6 +54,8 @@
     crash_delay: float = 0.02
     restart_delay: float = 0.2
     instance: str = ""
+    queue: int | None = None
+    on_close: OnClose = OnClose.WORK
 
 
 class StandInBackend:
@@ -66,8 +71,7 @@
         self.broken_ids: list[str] = []
         self.work_intervals_by_id: dict[str, list[tuple[float, float]]] = {}
         self.ids_after_drain: list[str] = []
-        self.running = 0
-        self.peak_running = 0
+        self.room = Room(options.slots, options.queue)
         self.crash_times: list[float] = []
         self.runs_by_body: Counter[bytes] = Counter()
         self.declaring = Declaring()
@@ -77,6 +81,11 @@
         self._announcer = HttpClient(options.daemon_admin, ANNOUNCE_TIMEOUT_S)
         self._server = HttpServer(self._handle, Timeouts())
 
+    @property
+    def running(self) -> int:
+        """Return the number of requests that are at work or waiting."""
+        return self.room.running
+
     async def start(self) -> str:
         """Listen on loopback, start announcing, and return the address."""
         self.address = await self._server.start("127.0.0.1:0")
@@ -168,20 +177,33 @@
             await self._control(connection, url.path, query)
             return
         request_id = (header(request.headers, REQUEST_ID_HEADER) or b"").decode("latin-1")
+        if not self.room.has_space():
+            await read_body(connection, BODY_LIMIT_BYTES)
+            json_response(connection, FULL_STATUS, {"error": "no slot and no place in the queue"})
+            return
         self.runs_by_id[request_id] += 1
         self.declaring.note_arrival(request_id, asyncio.get_running_loop().time())
-        self.running += 1
-        self.peak_running = max(self.peak_running, self.running)
         if self.state == "draining":
             self.ids_after_drain.append(request_id)
+        self._react_to_close(connection)
         try:
-            await self._serve(connection, query, request_id)
+            async with self.room.request():
+                await self._serve(connection, query, request_id)
             self.finished_by_id[request_id] += 1
         except (ConnectionLost, asyncio.CancelledError, h11.ProtocolError):
             self.broken_ids.append(request_id)
             raise
         finally:
-            self.running -= 1
+            connection.on_lost = None
+
+    def _react_to_close(self, connection: HttpConnection) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        if self.options.on_close is OnClose.DROP:
+            connection.on_lost = lambda: _cancel(task)
+        elif self.options.on_close is OnClose.ANSWER:
+            # Overrides the default, by which the transport closes when the peer does.
+            connection.eof_received = lambda: True  # type: ignore[method-assign]
 
     async def _serve(
         self, connection: HttpConnection, query: dict[str, str], request_id: str
@@ -234,11 +256,16 @@
             "over_limit": self.declaring.over_limit,
             "limits_named": self.declaring.limits_named,
             "leavings": self.declaring.leavings,
-            "peak": self.peak_running,
-            "running": self.running,
+            "peak": self.room.peak_running,
+            "running": self.room.running,
+            "over_room": self.room.over_room,
         }
 
 
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+
+
 async def _send_body(
     connection: HttpConnection, size: int, request_id: str, chunked: bool, declared: Headers
 ) -> None:
--- a/hornbeamgw/testing/command.py
+++ b/hornbeamgw/testing/command.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from hornbeamgw.daemon import logs, loop
+from hornbeamgw.testing.room import OnClose
 
 
 def _run(main: Coroutine[Any, Any, None]) -> None:
@@ -66,6 +67,13 @@
         str, cappa.Arg(long=True, help="address to announce instead of its own")
     ] = ""
     instance: Annotated[str, cappa.Arg(long=True, help="name to announce for its process")] = ""
+    queue: Annotated[
+        int | None,
+        cappa.Arg(long=True, help="requests that wait for a slot; without it, all run at once"),
+    ] = None
+    on_close: Annotated[
+        OnClose, cappa.Arg(long=True, help="what becomes of a request that the daemon cuts off")
+    ] = OnClose.WORK
 
     def __call__(self) -> None:
         """Run the stand-in until it is stopped."""
@@ -84,6 +92,8 @@
             self.cold_start_ms / 1000,
             self.announced,
             instance=self.instance,
+            queue=self.queue,
+            on_close=self.on_close,
         )
         backend = StandInBackend(options)
         _print_json({"listening": await backend.start()})
--- a/hornbeamgw/testing/fleet.py
+++ b/hornbeamgw/testing/fleet.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from hornbeamgw.daemon.http1 import HttpClient
+from hornbeamgw.testing.room import OnClose
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
@@ -36,6 +37,8 @@
     connections: int = 130
     work_ms: float = 2.0
     instance: str = ""
+    queue: int | None = None
+    on_close: OnClose = OnClose.WORK
 
 
 class ChildProcess:
@@ -122,9 +125,15 @@
 class Fleet:
     """The processes of a fleet, as an asynchronous context manager."""
 
-    def __init__(self, name: str, overrides: dict[str, Any] | None = None) -> None:
-        """Set the fleet name and the settings that override the defaults of all daemons."""
+    def __init__(
+        self, name: str, overrides: dict[str, Any] | None = None, daemon_code: str | None = None
+    ) -> None:
+        """Set the fleet name and the settings that override the defaults of all daemons.
+
+        Daemons run the code in the folder `daemon_code`, by default that of this process.
+        """
         self.name = name
+        self._daemon_code = daemon_code
         self.nodes: list[Node] = []
         self.platform: ChildProcess | None = None
         self._overrides = overrides or {}
@@ -162,7 +171,9 @@
         assert self.platform is not None
         return str(self.platform.bound_addresses["listening"])
 
-    async def _spawn(self, name: str, module_args: Sequence[str]) -> ChildProcess:
+    async def _spawn(
+        self, name: str, module_args: Sequence[str], folder: str | None = None
+    ) -> ChildProcess:
         self._started_count += 1
         log_path = Path(self._folder.name) / f"{self._started_count:04d}-{name}.log"
         with log_path.open("wb") as log_file:
@@ -174,6 +185,7 @@
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log_file,
                 env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
+                cwd=folder,
             )
         return ChildProcess(process, log_path)
 
@@ -221,7 +233,7 @@
         path = Path(self._folder.name) / f"settings-{self._started_count + 1:04d}.yaml"
         path.write_bytes(msgspec.yaml.encode(self._settings(spec, fixed_addresses)))
         command = ["hornbeamgw", "daemon", "--settings", str(path), "--print-addresses"]
-        child = await self._spawn("daemon", command)
+        child = await self._spawn("daemon", command, self._daemon_code)
         child.settings_path = path
         child.bound_addresses = await self._first_line(child, "callers")
         return child
@@ -245,6 +257,8 @@
         command += ["--connections", str(spec.connections), "--work-ms", str(spec.work_ms)]
         command += ["--announced", announced] if announced else []
         command += ["--instance", spec.instance] if spec.instance else []
+        command += [] if spec.queue is None else ["--queue", str(spec.queue)]
+        command += ["--on-close", spec.on_close]
         child = await self._spawn("backend", command)
         child.bound_addresses = await self._first_line(child, "listening")
         return child
