Log whether the server still owed an answer when an attempt ended

With is_answer_due, a slot that is freed while the server may still work can be told from admission that starts too much. Nothing is decided by it yet.

--- a/hornbeamgw/daemon/gate_attempt.py
+++ b/hornbeamgw/daemon/gate_attempt.py
@@ -43,6 +43,9 @@
         Whether the outcome was counted already because the answer is overdue.
     is_answer_dropped : bool
         Whether the answer is not to be sent.
+    is_answer_due : bool
+        Whether the request was sent, or a part of it, and the server has neither answered it
+        completely nor refused it.
     promise : Promise or None
         Expected bytes of the answer; None before the attempt is accepted.
     """
@@ -65,6 +68,7 @@
         self.answered_at = 0.0
         self.is_counted = False
         self.is_answer_dropped = False
+        self.is_answer_due = False
         self.promise: Promise | None = None
         self._progress = Progress(self.arrived_at)
 
@@ -150,6 +154,7 @@
     if failure is not None:
         fields |= {"reason": failure.reason, "detail": failure.detail}
         fields["fingerprint"] = as_text(attempt.call.fingerprint)
+        fields["is_answer_due"] = attempt.is_answer_due
     log.info("attempt ended", extra=fields)
 
 
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -132,6 +132,7 @@
             return not_run(Reason.BACKEND_UNREACHABLE, detail, RETRY_AFTER_UNREACHABLE_MS)
         pump: asyncio.Task[None] | None = None
         try:
+            attempt.is_answer_due = True
             sent = self._send_request(connection, call, attempt.deadline)
             if not call.end:
                 attempt.link.send(frames.Credit(call.attempt, WINDOW_BYTES))
@@ -205,6 +206,7 @@
             self._note_declaration(attempt, answer, failure)
         body, end = server_answer.read_available(connection)
         if failure is not None:
+            attempt.is_answer_due = False
             return failure
         settle(attempt)
         attempt.status = answer.status
@@ -223,6 +225,7 @@
             self._declarations.current(),
         )
         attempt.link.send(reply)
+        attempt.is_answer_due = not end
         if is_complete:
             transfers.note_size(self._transfers, attempt.call.route, len(body))
             return None
@@ -241,6 +244,7 @@
             outgoing.put(body, end)
             size += len(body)
             await outgoing.drain()
+        attempt.is_answer_due = False
         transfers.note_size(self._transfers, attempt.call.route, size)
         return None
 
