Show that cut attempts make room at servers that work on, as known red

A server that drops what is cut off keeps to its slots and its use; that scenario holds, and has to go on holding.

--- /dev/null
+++ b/features/steps/room.py
@@ -0,0 +1,199 @@
+"""Steps for the room of a server: two daemons, and a stand-in that counts what is at work."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+
+import h11
+from behave import given, then, when
+
+from hornbeamgw.core.membership import ServerState
+from hornbeamgw.daemon.heads import VERDICT
+from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, header
+from hornbeamgw.testing.local import LocalFleet, edit_from_bodies, wait_for
+from hornbeamgw.testing.room import OnClose
+
+LIMIT_S = 10.0
+WORK_S = 0.2
+ROUTE = {
+    "name": "lookups",
+    "host": "test.example",
+    "prefix": "/lookups",
+    "methods": ["GET"],
+    "service": "roster",
+    "entry": "all",
+    "idempotent": True,
+    "deadline_ms": 3000,
+}
+BODIES = {
+    "entry/all": {"name": "all", "owner": "o", "traffic_class": "c", "limits": {"slots": 9}},
+    "service/roster": {"name": "roster", "owner": "o"},
+    "route/lookups": ROUTE,
+}
+KINDS = {
+    "works on behind a closed connection": OnClose.WORK,
+    "answers all the same": OnClose.ANSWER,
+    "drops what is cut off": OnClose.DROP,
+}
+
+
+def begin(context, slots, on_close):
+    fleet = context.fleet = LocalFleet(context.scenario.name)
+    context.closers.append(fleet.close)
+    context.number, context.told, context.work_s = 0, [], WORK_S
+
+    async def start():
+        context.daemon, context.other = await fleet.start(), await fleet.start()
+        await context.daemon.committer.commit(edit_from_bodies(BODIES, "e"))
+        context.backend = await fleet.start_backend(
+            context.daemon, "roster", slots=slots, work=WORK_S, on_close=on_close
+        )
+        await wait_for(lambda: is_known(context))
+
+    context.runner.run(start())
+
+
+def is_serving(member):
+    return member is not None and member.server_state is ServerState.SERVING
+
+
+def is_known(context):
+    address = context.daemon.control.view.me.address
+    member = context.other.control.view.members_by_address.get(address)
+    versions = {d.control.versions.snapshot.version for d in (context.daemon, context.other)}
+    return is_serving(member) and versions == {1}
+
+
+@given("a server with {slots:d} slots that {goes_on}, beside one of two daemons")
+def server(context, slots, goes_on):
+    begin(context, slots, KINDS[goes_on])
+
+
+@given("each request takes {seconds:g} seconds")
+def takes(context, seconds):
+    context.backend.options = context.backend.options._replace(work=seconds)
+
+
+async def ask(context, deadline_ms, leave_s=LIMIT_S, daemon=None):
+    context.number += 1
+    client = HttpClient(context.fleet.callers(daemon or context.other), leave_s)
+    headers = [
+        (b"host", b"test.example"),
+        (b"x-request-id", b"r%d" % context.number),
+        (b"hornbeamgw-deadline-ms", b"%d" % deadline_ms),
+    ]
+    try:
+        answer = await client.request("GET", "/lookups", headers)
+        told = (header(answer.headers, VERDICT) or b"answered").decode()
+    except TimeoutError:
+        told = "left"
+    except (ConnectionLost, OSError, h11.ProtocolError):
+        told = "broken"
+    finally:
+        client.close()
+    context.told.append(told)
+
+
+async def ask_steadily(context, rate, seconds, deadline_ms, leave_s=LIMIT_S, leavers=0):
+    """Ask at a rate; of three callers, so many leave after a time."""
+    clock = asyncio.get_running_loop().time
+    began, asking = clock(), []
+    while clock() < began + seconds:
+        patience = leave_s if len(asking) % 3 < leavers else LIMIT_S
+        asking.append(asyncio.create_task(ask(context, deadline_ms, patience)))
+        await asyncio.sleep(max(0.0, began + len(asking) / rate - clock()))
+    await asyncio.gather(*asking)
+    await wait_for(lambda: not context.backend.running)
+
+
+LEAVERS = {"all of them": 3, "two thirds of them": 2, "a third of them": 1}
+
+
+@when(
+    "callers ask {rate:d} times a second for {seconds:g} seconds,"
+    " and {who} leave after {leave_ms:d} ms"
+)
+def leave(context, rate, seconds, who, leave_ms):
+    context.runner.run(ask_steadily(context, rate, seconds, 3000, leave_ms / 1000, LEAVERS[who]))
+
+
+@when(
+    "callers ask {rate:d} times a second for {seconds:g} seconds,"
+    " and their deadlines pass after {deadline_ms:d} ms"
+)
+@when(
+    "callers ask {rate:d} times a second for {seconds:g} second,"
+    " and their deadlines pass after {deadline_ms:d} ms"
+)
+def deadlines(context, rate, seconds, deadline_ms):
+    context.seconds = seconds
+    context.runner.run(ask_steadily(context, rate, seconds, deadline_ms))
+
+
+async def occupy(context, count, deadline_ms):
+    """Let callers ask, and return their tasks once their requests run."""
+    asking = [asyncio.create_task(ask(context, deadline_ms)) for _ in range(count)]
+    await wait_for(lambda: context.backend.running == count)
+    return asking
+
+
+@when("{count:d} callers ask, and the daemon beside the server is started again")
+def started_again(context, count):
+    async def run():
+        asking = await occupy(context, count, 3000)
+        address = context.daemon.control.view.me.address
+        admin = context.fleet.admin(context.daemon)
+        await context.fleet.crash(context.daemon)
+        context.daemon.admin.abort()
+        context.daemon = await context.fleet.start(address=address, admin=admin)
+        await wait_for(lambda: context.daemon.gate.announcement is not None)
+        incarnation = context.daemon.control.view.me.incarnation
+        members = context.other.control.view.members_by_address
+        await wait_for(lambda: members[address].incarnation == incarnation)
+        await wait_for(lambda: is_serving(members[address]))
+        await asyncio.gather(*asking)
+
+    context.runner.run(run())
+
+
+@when(
+    "{count:d} callers ask with deadlines of {deadline_ms:d} ms,"
+    " and the daemon stands still for {pause_ms:d} ms"
+)
+def stands_still(context, count, deadline_ms, pause_ms):
+    async def run():
+        asking = await occupy(context, count, deadline_ms)
+        # The daemons share the thread of this step, so both stand still.
+        time.sleep(pause_ms / 1000)
+        await asyncio.gather(*asking)
+
+    context.runner.run(run())
+
+
+@then("the server has never had more than {count:d} requests at once")
+def at_most(context, count):
+    room = context.backend.room
+    assert room.peak_running <= count, (room.peak_running, room.over_room, Counter(context.told))
+
+
+@then("at least {count:d} in 100 of those that stayed are answered")
+def answered(context, count):
+    stayed = [told for told in context.told if told != "left"]
+    assert stayed.count("answered") >= count / 100 * len(stayed), Counter(context.told)
+
+
+@then("at most {count:d} in 100 of what the server ran is not answered")
+def wasted(context, count):
+    ran = len(context.backend.runs_by_id)
+    unanswered = ran - context.told.count("answered")
+    assert unanswered <= count / 100 * ran, (unanswered, ran, Counter(context.told))
+
+
+@then("the server has been used for at least {count:d} in 100 of the time")
+def used(context, count):
+    intervals = context.backend.work_intervals_by_id.values()
+    worked = sum(end - begin for times in intervals for begin, end in times)
+    available = context.backend.options.slots * context.seconds
+    assert worked >= count / 100 * available, (worked, available, Counter(context.told))
