Use a server again once the report that it is full is old

What callers saw: a server that had named a limit got 17 of its 75 requests with 8 daemons, and 0 of 150 with 4, 4 to 9 s after the limit had ended. Cause: the policy two_choice took the free slots of a server's last report for true for ever. A limited server reports none, gets no request by that, and so never reports anything else. expected_finish has ignored reports older than 1 s all along.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -77,7 +77,6 @@
     Then the server has had at least 25 requests since
 
   # Guards against a server that stays unused because the last that others heard of it was its limit.
-  @known_red
   Scenario Outline: A server whose limit has ended is used again, beside <count> daemons
     Given <count> daemons with the balancing policy "two_choice", each beside a server
     When callers of all ask 120 times a second, and one server names a limit of 15 a second for 4 seconds
--- a/hornbeamgw/core/balancing.py
+++ b/hornbeamgw/core/balancing.py
@@ -36,6 +36,11 @@
 EJECT_MAX_RATIO = 0.5
 
 
+# Age above which the load report of a server's daemon is ignored. Requests that were queued for so
+# long have been dropped by then, and limits may have ended.
+REPORT_MAX_AGE_S = 1.0
+
+
 class Load:
     """Load and health of one backend server as observed by this daemon.
 
@@ -112,6 +117,11 @@
     return add
 
 
+def is_recent(load: Load, now: float) -> bool:
+    """Return whether the last load report of a server is recent enough to be used."""
+    return now - load.reported_at <= REPORT_MAX_AGE_S
+
+
 def _cost(candidate: Candidate, now: float) -> float:
     """Return the ratio of used slots, including one for the new call, to the current capacity.
 
@@ -119,7 +129,7 @@
     """
     load, slots = candidate.load, max(1, candidate.member.slots)
     used = load.outstanding
-    if load.free_slots is not None:
+    if load.free_slots is not None and is_recent(load, now):
         used = max(used, slots - load.free_slots)
     age = now - load.first_seen
     ramp = max(SLOW_START_MIN_RATIO, min(1.0, age / SLOW_START_S))
@@ -188,11 +198,11 @@
     return kept if len(kept) >= len(candidates) * (1 - EJECT_MAX_RATIO) else candidates
 
 
-def _has_room(candidate: Candidate) -> bool:
+def _has_room(candidate: Candidate, now: float) -> bool:
     load = candidate.load
     if load.outstanding >= candidate.member.slots:
         return False
-    return load.free_slots is None or load.free_slots > 0
+    return load.free_slots is None or load.free_slots > 0 or not is_recent(load, now)
 
 
 def _locality_tiers(me: Member, candidates: list[Candidate]) -> list[list[Candidate]]:
@@ -285,7 +295,7 @@
     fresh = [c for c in candidates if c.key not in tried] or candidates
     tiers = _locality_tiers(me, _without_ejected(fresh, now))
     for tier in tiers:
-        with_room = [c for c in tier if _has_room(c)]
+        with_room = [c for c in tier if _has_room(c, now)]
         if with_room:
             return policy(with_room, now, rng)
     return policy(tiers[-1], now, rng) if tiers else None
--- a/hornbeamgw/core/placement.py
+++ b/hornbeamgw/core/placement.py
@@ -15,7 +15,7 @@
 
 import random
 
-from hornbeamgw.core import transfers
+from hornbeamgw.core import balancing, transfers
 from hornbeamgw.core.balancing import Candidate, Choice, Load, register_chooser
 from hornbeamgw.core.membership import Member, Status
 from hornbeamgw.core.service_times import INITIAL_TIME_RATIO
@@ -32,9 +32,6 @@
 # Smoothing factor of a server's failure probability, and the rate (1/s) at which it decays.
 OUTCOME_SMOOTHING_FACTOR = 0.15
 FAILURE_DECAY_PER_S = 0.25
-# Age above which the load report of a server's daemon is ignored. Requests that were queued for so
-# long have been dropped by then.
-REPORT_MAX_AGE_S = 1.0
 # Upper limit of the random time that is added to a server's expected completion to break ties.
 TIE_BREAK_S = 0.001
 # Weight of the newest measurement in the moving averages of a route's traits.
@@ -103,7 +100,7 @@
 
 
 def _wait(load: Load, slots: int, service: float, now: float) -> float:
-    if load.free_slots is None or now - load.reported_at > REPORT_MAX_AGE_S:
+    if load.free_slots is None or not balancing.is_recent(load, now):
         ahead = load.outstanding - slots
         return max(0.0, ahead + 1) * service / slots
     wait = max(0.0, load.wait - (now - load.reported_at))
