Admit nothing while a server may work for this daemon's former process

What was seen: 8 requests under way at a server of 4 slots after the daemon beside it was started again (real sockets, work of 1.2 s). Cause: a new process counts all slots as free, and a server that works on after a close goes on with what the former process had sent. Those who know are the daemons that had sent it and lost the link: with each call to a daemon that has another incarnation since, they tell for how long their lost attempts may go on (three times what such a request typically takes). So long the server counts as full.

--- a/features/room.feature
+++ b/features/room.feature
@@ -50,7 +50,6 @@
     And the server has been used for at least 85 in 100 of the time
 
   # Guards against room that a daemon takes for free at a server that still works for its former run.
-  @known_red
   Scenario Outline: A daemon that is <how> finds the slots as they are
     Given a server with 4 slots that works on behind a closed connection, beside one of two daemons
     And each request takes 1.2 seconds
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -70,7 +70,7 @@
 
     The result is 0 if the backend server is not serving.
     """
-    if state.server_state is not ServerState.SERVING:
+    if state.server_state is not ServerState.SERVING or _has_former_work(state, now):
         return 0
     free = max(0, state.slots - len(state.running_by_attempt) - len(state.queue))
     return int(min(free, rate_limit.free_tokens(state.rate_limit, len(state.queue), now)))
@@ -100,7 +100,13 @@
     )
 
 
+def _has_former_work(state: AdmissionState, now: float) -> bool:
+    return now < state.former_work_until
+
+
 def _has_slot(state: AdmissionState, request: Request, now: float) -> bool:
+    if _has_former_work(state, now):
+        return False
     running = state.running_count_by_entry.get(request.entry, 0)
     if running >= request.limits.slots:
         return False
@@ -297,6 +303,7 @@
     state.mean_service_time = INITIAL_SERVICE_TIME_S
     state.rate_limit = RateLimitState()
     state.habits = ServerHabits()
+    state.former_work_until = -math.inf
 
 
 def resolve(state: AdmissionState, attempt: AttemptId, age: float, now: float) -> Verdict:
--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -10,6 +10,9 @@
 while the requests that run, together with those just cut off, would use all slots, the server has
 probably stopped one of the latter. Health checks that are answered while requests that were not cut
 off use all slots do not wait for a slot, and teach nothing.
+
+A daemon that has just been started knows nothing of the requests of its former process. Daemons
+that had sent some tell it for how long they may go on. So long, the server counts as full.
 """
 
 from __future__ import annotations
@@ -31,6 +34,8 @@
 SILENT_FACTOR = 2.0
 # The same for a server of which nothing has been measured, relative to the time until the cut.
 UNMEASURED_FACTOR = 3.0
+# Longest service time of a request sent through a lost daemon, relative to the typical one.
+FORMER_WORK_FACTOR = 3.0
 # Longest time after the cut for which a request counts as running at a server without any sign of
 # life.
 MAX_HOLD_S = 10.0
@@ -51,6 +56,14 @@
 MAX_REGULAR_RATIO = 0.3
 
 
+def former_work_until(started_at: float, typical: float) -> float:
+    """Return the time (s) until which a request may go on that was sent through a lost daemon.
+
+    It was sent at `started_at` (s), and requests of its route typically take `typical` seconds.
+    """
+    return started_at + min(MAX_HOLD_S, FORMER_WORK_FACTOR * typical)
+
+
 def longest_time(times: ServiceTimes, cut: CutRequest) -> float:
     """Return the time in seconds that a request may take from its start.
 
--- a/hornbeamgw/core/queueing.py
+++ b/hornbeamgw/core/queueing.py
@@ -96,7 +96,8 @@
 def _deadline_wait(state: AdmissionState, request: Request, now: float) -> float:
     """Return the expected wait for a slot in seconds, behind requests with an earlier deadline."""
     ahead = sum(queued.deadline <= request.deadline for queued in state.queue)
-    return (ahead + 1) * state.mean_service_time / max(1, state.slots)
+    former = max(0.0, state.former_work_until - now)
+    return former + (ahead + 1) * state.mean_service_time / max(1, state.slots)
 
 
 def _is_too_late(state: AdmissionState, request: Request, start: float, now: float) -> bool:
@@ -143,7 +144,8 @@
         free.append(now + service_times.remaining(expected_service_time(state, request, now), age))
     # More requests than there are slots may run after the server has announced fewer.
     free = sorted(free)[max(0, len(free) - state.slots) :]
-    return free + [now] * (state.slots - len(free))
+    former_until = state.former_work_until
+    return free + [max(now, former_until)] * (state.slots - len(free))
 
 
 def _latest_end(request: Request) -> float:
@@ -340,7 +342,8 @@
 
 def expected_wait(state: AdmissionState, now: float) -> float:
     """Return the expected wait for a slot in seconds of a request that joins the queue last."""
-    if len(state.running_by_attempt) + len(state.queue) < state.slots:
+    has_former_work = now < state.former_work_until
+    if len(state.running_by_attempt) + len(state.queue) < state.slots and not has_former_work:
         return 0.0
     durations = [expected_service_time(state, request, now) for request in state.queue]
     return max(0.0, start_times(slot_free_times(state, now), [*durations, 0.0])[-1] - now)
--- a/hornbeamgw/core/slots.py
+++ b/hornbeamgw/core/slots.py
@@ -264,6 +264,9 @@
         they may use a slot.
     cuts_by_attempt : dict
         The requests in `running_by_attempt` that were cut off.
+    former_work_until : float
+        Time (s) until which the server may work on requests of this daemon's former process, which
+        are not in `running_by_attempt`.
     """
 
     def __init__(self, policy: str = "deadline") -> None:
@@ -285,4 +288,5 @@
         self.rate_limit = RateLimitState()
         self.habits = ServerHabits()
         self.cuts_by_attempt: dict[AttemptId, CutRequest] = {}
+        self.former_work_until = -math.inf
         self.policy = policies_by_name[policy]
--- a/hornbeamgw/daemon/attempts.py
+++ b/hornbeamgw/daemon/attempts.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from hornbeamgw.core import balancing, placement
+from hornbeamgw.core import balancing, occupancy, placement
 from hornbeamgw.core.balancing import Load
 from hornbeamgw.core.verdict import Failure, Reason, may_have_run, not_run
 from hornbeamgw.daemon import frames
@@ -61,6 +61,13 @@
 )
 
 
+class LostWork(NamedTuple):
+    """Time (s) until which requests may go on that were sent through one process of a daemon."""
+
+    incarnation: int
+    until: float
+
+
 class Attempt:
     """The state of one attempt at the daemon that sends it.
 
@@ -76,6 +83,8 @@
         Frames and events for the task that handles the call.
     upload : Window
         Bytes of the request body that the gate still accepts.
+    typical : float
+        Typical service time of such requests in seconds.
     """
 
     def __init__(
@@ -86,8 +95,10 @@
         started: float,
         idempotent: bool = False,
         server: int = 0,
+        typical: float = 0.0,
     ) -> None:
         """Start with nothing received."""
+        self.typical = typical
         self.idempotent = idempotent
         self.server = server
         self.answered = False
@@ -127,6 +138,7 @@
         self._links_by_address: dict[str, Link] = {}
         self._dialling_by_address: dict[str, asyncio.Task[Link]] = {}
         self._attempts_by_number: dict[int, Attempt] = {}
+        self._lost_by_address: dict[str, LostWork] = {}
         self._next_number = 0
         self._checked_at = math.inf
 
@@ -166,11 +178,21 @@
             self._links_by_address[address] = link
 
     def start(
-        self, link: Link, load: Load, now: float, idempotent: bool = False, server: int = 0
+        self,
+        link: Link,
+        load: Load,
+        now: float,
+        idempotent: bool = False,
+        server: int = 0,
+        typical: float = 0.0,
     ) -> Attempt:
-        """Return a new attempt on a link; `server` is the server's number at the other daemon."""
+        """Return a new attempt on a link.
+
+        `server` is the server's number at the other daemon, and `typical` the typical service time
+        of such requests in seconds.
+        """
         self._next_number += 1
-        attempt = Attempt(self._next_number, link, load, now, idempotent, server)
+        attempt = Attempt(self._next_number, link, load, now, idempotent, server, typical)
         self._attempts_by_number[attempt.number] = attempt
         if load.outstanding == 0:
             link.restart_idle_timer(now)
@@ -209,6 +231,27 @@
         for attempt in self._attempts_by_number.values():
             if attempt.link is link:
                 attempt.events.put(LinkGone())
+                if link.peer is not None and not attempt.answered:
+                    self._note_lost(link.peer, attempt)
+
+    def _note_lost(self, peer: frames.Hello, attempt: Attempt) -> None:
+        """Remember for how long the server may work on an attempt whose link was lost."""
+        until = occupancy.former_work_until(attempt.started, attempt.typical)
+        known = self._lost_by_address.get(peer.member)
+        if known is None or known.until < until:
+            self._lost_by_address[peer.member] = LostWork(peer.incarnation, until)
+
+    def former_work_ms(self, link: Link, now: float) -> int:
+        """Return for how long requests sent through the peer's former process may go on."""
+        if link.peer is None or not self._lost_by_address:
+            return 0
+        lost = self._lost_by_address.get(link.peer.member)
+        if lost is None or lost.incarnation == link.peer.incarnation:
+            return 0
+        if lost.until <= now:
+            del self._lost_by_address[link.peer.member]
+            return 0
+        return math.ceil(1000 * (lost.until - now))
 
     def check(self, now: float) -> None:
         """Check the links with open attempts for silence.
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -426,7 +426,8 @@
         if remaining <= 0 or call.caller_gone:
             return self._failure_before_sending(call)
         server = chosen.member.server
-        attempt = self._links.start(link, chosen.load, now, call.route.idempotent, server)
+        typical = self._servers.traits_of(call).service
+        attempt = self._links.start(link, chosen.load, now, call.route.idempotent, server, typical)
         call.current = attempt
         try:
             self._send_call(attempt, call, remaining)
@@ -477,8 +478,9 @@
             call.route.entry.limits,
             call.fingerprint,
             attempt.server,
-            round(self._servers.traits_of(call).service * 1000),
+            round(attempt.typical * 1000),
             attempt.load.heard,
+            self._links.former_work_ms(attempt.link, asyncio.get_running_loop().time()),
         )
         attempt.load.sent_since_report += 1
         attempt.link.send(frame)
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -240,6 +240,7 @@
     call.fingerprint = f.fingerprint
     call.server = f.server
     call.typicalMs = f.typical_service_ms
+    call.formerWorkMs = f.former_work_ms
     if f.heard is not None:
         _write_declaration(call.init("heard"), f.heard)
     limits = call.init("limits")
@@ -400,6 +401,7 @@
     "fingerprint",
     "server",
     "typicalMs",
+    "formerWorkMs",
 )
 _read_limits = field_reader(schema.Limits, "slots", "reserved", "queue")
 _read_refusal_fields = field_reader(
@@ -441,7 +443,7 @@
 
 
 def _read_call(raw: Any) -> frames.Call:
-    *first, limits, fingerprint, server, typical_service_ms = _read_call_fields(raw)
+    *first, limits, fingerprint, server, typical_service_ms, former_work_ms = _read_call_fields(raw)
     values = (
         *first,
         Limits(*_read_limits(limits)),
@@ -449,6 +451,7 @@
         server,
         typical_service_ms,
         _read_declaration(raw, _heard_field),
+        former_work_ms,
     )
     return frames.Call(*values)
 
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -58,6 +58,9 @@
         Typical service time of the route, 0 if unknown.
     heard : Heard or None
         What the server declared in its last answer to the sender.
+    former_work_ms : int
+        How long requests of the sender may go on that it had sent through the receiver's former
+        process, 0 if there are none.
     """
 
     attempt: int
@@ -81,6 +84,7 @@
     server: int = 0
     typical_service_ms: int = 0
     heard: Heard | None = None
+    former_work_ms: int = 0
 
 
 class Body(NamedTuple):
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -13,6 +13,7 @@
 from hornbeamgw.core.exposure import ExposureBound, ExposureState
 from hornbeamgw.core.fingerprint import as_text
 from hornbeamgw.core.membership import Member, ServerState
+from hornbeamgw.core.occupancy import MAX_HOLD_S
 from hornbeamgw.core.registration import Announcement, is_renewal, is_same_run
 from hornbeamgw.core.slots import CutRequest
 from hornbeamgw.core.snapshot import Limits, Snapshot
@@ -336,6 +337,8 @@
         now = asyncio.get_running_loop().time()
         if call.heard is not None:
             self.declarations.note_heard(call.heard, now)
+        if call.former_work_ms:
+            self._note_former_work(call, now)
         limits = self._limits(call.entry) or (call.limits if call.limits.slots else None)
         if limits is None:
             failure = not_run(Reason.NOT_READY, f"entry {call.entry}", RETRY_AFTER_NOT_READY_MS)
@@ -386,6 +389,19 @@
         path = self._snapshot().health_paths_by_service.get(service)
         self._slot_checker.consider(path, now)
 
+    def _note_former_work(self, call: frames.Call, now: float) -> None:
+        """Admit nothing while the server may work on requests of this daemon's former process."""
+        until = now + min(MAX_HOLD_S, call.former_work_ms / 1000)
+        if until <= self.state.former_work_until:
+            return
+        if now >= self.state.former_work_until:
+            self.counts["former_work"] += 1
+            log.info(
+                "backend server may work on requests of this daemon's former process",
+                extra={"call_id": call.call_id, "for_ms": call.former_work_ms},
+            )
+        self.state.former_work_until = until
+
     def _backlog_refusal(self, link: Link, route: str) -> Failure | None:
         """Return a refusal if this VM's link could not send the answer before a stop ends."""
         wait = self.exchange.wait_for_room(link, route)
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -56,6 +56,7 @@
   server @18 :UInt16;  # number of the backend server beside the receiver
   typicalMs @19 :UInt32;  # typical service time of such a request, 0 if unknown
   heard @20 :Declaration;  # what the server declared in its last answer to the sender
+  formerWorkMs @21 :UInt32;  # how long the sender's requests through the receiver's former process may go on
 }
 
 # What a backend server says of itself in its answers.
