--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -13,6 +13,13 @@
     When a lookup of 60 ms with an objective of 200 ms arrives
     Then it waits
 
+  # Guards against a wait that is told by slots that a server has taken back.
+  Scenario: Where a server has fewer slots than it works on, the first ends make no room
+    Given a busy server whose 2 slots of 6 hold work of 60 ms that has just begun
+    And 2 more that are 40 ms old
+    When the server announces 2 slots
+    Then a lookup of 60 ms with an objective of 200 ms is told a wait of 60 ms
+
   Scenario: Short work goes before long work that can spare the time
     Given a busy server whose 6 slots hold work of 60 ms that has just begun
     When a report of 240 ms with an objective of 600 ms arrives
--- a/features/room.feature
+++ b/features/room.feature
@@ -19,6 +19,20 @@
       | answers all the same             | a third of them leave after 120 ms   |
       | answers all the same             | their deadlines pass after 150 ms    |
 
+  # Guards against connections that are taken for closed while the server answers on them.
+  Scenario: A server gets no more connections than it allows
+    Given a server with 4 slots that answers all the same, beside one of two daemons
+    And it allows 4 connections
+    When callers ask 40 times a second for 3 seconds, and all of them leave after 120 ms
+    Then the server has never had more than 4 connections at once
+
+  # Guards against requests that are cut off by a lost connection and count as ended.
+  Scenario: What a lost connection cuts off does not make room
+    Given a server with 4 slots that works on behind a closed connection, beside one of two daemons
+    When a caller asks now and then for 2 seconds, so that the daemon knows how long requests take
+    And callers ask 40 times a second for 3 seconds, and each connection to the server is lost after 50 ms
+    Then the server has never had more than 4 requests at once
+
   # Guards against slots that are held for requests that a server has dropped.
   Scenario: A server that drops what is cut off is used as if it had not been sent
     Given a server with 4 slots that drops what is cut off, beside one of two daemons
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -70,6 +70,26 @@
     fill(context, n, n, work, age)
 
 
+@given("{count:d} more that are {age:d} ms old")
+def older(context, count, age):
+    for _ in range(count):
+        decision = arrive(context, "work", 60, 600, now=context.now - age / 1000)
+        assert isinstance(decision, Admitted)
+
+
+@when("the server announces {slots:d} slots")
+def announces(context, slots):
+    context.state.slots = slots
+
+
+@then("a lookup of {work:d} ms with an objective of {objective:d} ms is told a wait of {wait:d} ms")
+def told_wait(context, work, objective, wait):
+    assert isinstance(arrive(context, "lookup", work, objective), Queued)
+    request = context.state.queue.pop()
+    found = 1000 * context.state.policy.wait(context.state, request, context.now)
+    assert abs(found - wait) < 1, found
+
+
 @when("a lookup of {work:d} ms with an objective of {objective:d} ms arrives")
 def lookup(context, work, objective):
     context.lookup = arrive(context, "lookup", work, objective)
--- a/features/steps/room.py
+++ b/features/steps/room.py
@@ -107,6 +107,78 @@
     assert habits.has_cut_any and not habits.stops_on_close, vars(habits)
 
 
+@given("it allows {count:d} connections")
+def allows(context, count):
+    backend = context.backend
+    backend.options = backend.options._replace(connections=count)
+    known = context.daemon.gate.exchange.pool
+    context.runner.run(wait_for(lambda: known.connections == count))
+    context.open = Connections(backend)
+    context.closers.append(context.open.stop)
+
+
+class Connections:
+    """Watch how many connections a stand-in has open to its daemon's gate."""
+
+    def __init__(self, backend):
+        """Start to watch."""
+        self.most = 0
+        self._backend = backend
+        self._task = None
+
+    async def watch(self):
+        """Look again and again."""
+        while True:
+            self.most = max(self.most, len(self._backend._server.connections))
+            await asyncio.sleep(0.001)
+
+    async def stop(self):
+        """Look no longer."""
+        self._task.cancel()
+
+    def start(self):
+        """Begin to look."""
+        self._task = asyncio.get_running_loop().create_task(self.watch())
+
+
+@then("the server has never had more than {count:d} connections at once")
+def most_connections(context, count):
+    assert 0 < context.open.most <= count, context.open.most
+
+
+@when(
+    "a caller asks now and then for {seconds:g} seconds,"
+    " so that the daemon knows how long requests take"
+)
+def now_and_then(context, seconds):
+    context.runner.run(ask_steadily(context, 4, seconds, 3000))
+
+
+@when(
+    "callers ask {rate:d} times a second for {seconds:g} seconds,"
+    " and each connection to the server is lost after {lost_ms:d} ms"
+)
+def connections_lost(context, rate, seconds, lost_ms):
+    async def lose():
+        pool = context.daemon.gate.exchange.pool
+        since = {}
+        while True:
+            now = asyncio.get_running_loop().time()
+            busy = {c for c in pool._open if c.http.our_state is h11.DONE}
+            since = {c: since.get(c, now) for c in busy}
+            for connection, at in since.items():
+                if now - at > lost_ms / 1000:
+                    connection.transport.abort()
+            await asyncio.sleep(0.005)
+
+    async def run():
+        losing = asyncio.create_task(lose())
+        await ask_steadily(context, rate, seconds, 3000)
+        losing.cancel()
+
+    context.runner.run(run())
+
+
 @given("each request takes {seconds:g} seconds")
 def takes(context, seconds):
     context.backend.options = context.backend.options._replace(work=seconds)
@@ -134,6 +206,8 @@
 
 async def ask_steadily(context, rate, seconds, deadline_ms, leave_s=LIMIT_S, leavers=0):
     """Ask at a rate; of three callers, so many leave after a time."""
+    if "open" in context:
+        context.open.start()
     clock = asyncio.get_running_loop().time
     began, asking = clock(), []
     while clock() < began + seconds:
--- a/hornbeamgw/testing/backend.py
+++ b/hornbeamgw/testing/backend.py
@@ -77,6 +77,7 @@
         self.runs_by_body: Counter[bytes] = Counter()
         self.declaring = Declaring()
         self._starts = 1
+        self._ended: set[HttpConnection] = set()
         self._leave_task: asyncio.Task[None] | None = None
         self._restart_task: asyncio.Task[None] | None = None
         self._announcer = HttpClient(options.daemon_admin, ANNOUNCE_TIMEOUT_S)
@@ -196,11 +197,14 @@
             async with self.room.request():
                 await self._serve(connection, query, request_id)
             self.finished_by_id[request_id] += 1
+            if connection in self._ended:
+                connection.close()
         except (ConnectionLost, asyncio.CancelledError, h11.ProtocolError):
             self.broken_ids.append(request_id)
             raise
         finally:
             connection.on_lost = None
+            self._ended.discard(connection)
 
     def _react_to_close(self, connection: HttpConnection) -> None:
         task = asyncio.current_task()
@@ -209,7 +213,12 @@
             connection.on_lost = lambda: _cancel(task)
         elif self.options.on_close is OnClose.ANSWER:
             # Overrides the default, by which the transport closes when the peer does.
-            connection.eof_received = lambda: True  # type: ignore[method-assign]
+            connection.eof_received = lambda: self._note_end(connection)  # type: ignore[method-assign]
+
+    def _note_end(self, connection: HttpConnection) -> bool:
+        """Keep a connection that the daemon has closed open until its answer, if one is due."""
+        self._ended.add(connection)
+        return connection.http.our_state is h11.SEND_RESPONSE
 
     async def _serve(
         self, connection: HttpConnection, query: dict[str, str], request_id: str
