Hold for less what a server has cut off itself, and count connections until they are closed

A server that closes a connection before we do has most probably ended the request, so without a measured service time the slot counts as used for three times what had passed, not until the deadline (20 s on some routes of the example catalogues).

--- a/features/room.feature
+++ b/features/room.feature
@@ -7,7 +7,7 @@
   # Guards against slots that are taken for free when a caller has left or a deadline has passed.
   Scenario Outline: What <cut> does not make room at a server that <goes on>
     Given a server with 4 slots that <goes on>, beside one of two daemons
-    When callers ask 40 times a second for 4 seconds, and <cut>
+    When callers ask 40 times a second for 3 seconds, and <cut>
     Then the server has never had more than 4 requests at once
 
     Examples:
--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -67,12 +67,15 @@
 def longest_time(times: ServiceTimes, cut: CutRequest) -> float:
     """Return the time in seconds that a request may take from its start.
 
-    A server of which nothing has been measured is expected to keep its deadline, if that is later.
+    A server of which nothing has been measured is expected to keep its deadline, if that is later,
+    unless it has closed the connection itself.
     """
     known = times.estimates_by_route.get(cut.route)
     if known is None:
-        until_cut = UNMEASURED_FACTOR * (cut.cut_at - cut.started_at)
-        return min(MAX_HOLD_S, max(cut.deadline - cut.started_at, until_cut))
+        longest = UNMEASURED_FACTOR * (cut.cut_at - cut.started_at)
+        if cut.closed_at is None or cut.closed_at > cut.cut_at:
+            longest = max(longest, cut.deadline - cut.started_at)
+        return min(MAX_HOLD_S, longest)
     return known.mean + LONGEST_DEVIATIONS * known.deviation
 
 
--- a/hornbeamgw/daemon/abandoned.py
+++ b/hornbeamgw/daemon/abandoned.py
@@ -65,7 +65,9 @@
 
         `on_ended` is then called, with whether the server has answered.
         """
-        if connection.http.our_state is h11.DONE and not connection.unsent_bytes():
+        if connection.lost:
+            cut = cut._replace(closed_at=cut.cut_at)
+        elif connection.http.our_state is h11.DONE and not connection.unsent_bytes():
             connection.half_close()
         else:
             # The server has not received the whole request.
@@ -75,7 +77,7 @@
         self._state.cuts_by_attempt[attempt] = cut
         task = asyncio.create_task(self._wait(attempt, cut, connection))
         self._tasks[task] = on_ended
-        task.add_done_callback(lambda done: self._on_done(done, call_id, cut))
+        task.add_done_callback(lambda done: self._on_done(done, call_id, cut, connection))
 
     async def _wait(self, attempt: AttemptId, cut: CutRequest, connection: HttpConnection) -> str:
         """Return how it became known that the slot is free."""
@@ -100,11 +102,16 @@
                     await asyncio.sleep(pause)
         finally:
             answer.cancel()
-            self._pool.discard(connection)
 
-    def _on_done(self, task: asyncio.Task[str], call_id: str, cut: CutRequest) -> None:
+    def _on_done(
+        self, task: asyncio.Task[str], call_id: str, cut: CutRequest, connection: HttpConnection
+    ) -> None:
         on_ended = self._tasks.pop(task)
         how = "server ended" if task.cancelled() else task.result()
+        if how == "answered":
+            self._pool.retire(connection)
+        else:
+            self._pool.discard(connection)
         self._counts[f"cut.{how.replace(' ', '_')}"] += 1
         after_ms = round((asyncio.get_running_loop().time() - cut.cut_at) * 1000, 1)
         log.info(
--- a/hornbeamgw/daemon/backend_pool.py
+++ b/hornbeamgw/daemon/backend_pool.py
@@ -16,6 +16,8 @@
 _KEEP_ALIVE = re.compile(rb"timeout=([0-9]+)")
 DIAL_TIMEOUT_S = 0.25
 IDLE_MAX_NON_IDEMPOTENT_S = 0.25
+# Time for which the end of a connection is awaited after the answer to a request that was cut off.
+RETIRE_TIMEOUT_S = 0.1
 
 
 class PoolFull(ConnectionError):
@@ -116,6 +118,15 @@
         else:
             self.discard(connection)
 
+    def retire(self, connection: HttpConnection) -> None:
+        """Remove a half-closed connection once the server has closed its end, or after a while."""
+        if connection.lost:
+            self.discard(connection)
+            return
+        connection.on_lost = lambda: self.discard(connection)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RETIRE_TIMEOUT_S, self.discard, connection)
+
     def discard(self, connection: HttpConnection) -> None:
         """Remove a connection from the pool and abort it."""
         self._forget(connection)
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -250,8 +250,8 @@
             outgoing.put(body, end)
             size += len(body)
             await outgoing.drain()
-        attempt.is_answer_due = False
         transfers.note_size(self._transfers, attempt.call.route, size)
+        attempt.is_answer_due = False
         return None
 
     def _open_outgoing(self, attempt: GateAttempt, limit: float) -> OutgoingAnswer:
--- a/properties/fleet_soak.py
+++ b/properties/fleet_soak.py
@@ -18,10 +18,12 @@
 import msgspec
 
 from hornbeamgw.core.edit import Change, Edit
+from hornbeamgw.daemon.http1 import HttpClient
 from hornbeamgw.testing.demo import example_edit
 from hornbeamgw.testing.fleet import ChildProcess, Fleet, Node, NodeSpec, request_json
-from hornbeamgw.testing.load import Audit, LoadGenerator, audit
+from hornbeamgw.testing.load import KINDS, Audit, Kind, LoadGenerator, audit, call
 from hornbeamgw.testing.proxy import NO_IMPAIRMENT, Impairment, Proxy
+from hornbeamgw.testing.room import OnClose
 
 SERVICES = ("slot-desk", "booking-payment", "roster", "planner", "reservation", "fixtures")
 WORKERS = 8
@@ -32,6 +34,16 @@
 LEAST_ANSWERED_AFTER = 0.9  # of calls, once everything has been put right
 QUIET_CALLS_S = 2.0
 ACCEPT_TRIES = 8
+# What servers do with requests that are cut off, in turn.
+ON_CLOSE = (OnClose.DROP, OnClose.WORK, OnClose.ANSWER)
+SLOTS = 6
+QUEUE = 2
+WORK_MS = 40.0
+# Bursts of callers that leave, each of one kind: more than a server has slots for.
+LEAVERS_PER_S = 250.0
+LEAVERS_S = 0.7
+LEAVERS_EVERY_S = 2.5
+LEAVE_AFTER_S = (0.005, 0.08)
 DECLARERS = 2
 DECLARE_EVERY_S = 0.5
 DECLARED_S = (4.5, 6.0)  # longer than the window in which a limit is judged
@@ -56,6 +68,7 @@
     violations: int
     over_limit: int
     after_leaving: int
+    over_room: int
     not_converged: int
     unserved_after: int
 
@@ -69,10 +82,11 @@
 
 
 class Ignored(NamedTuple):
-    """Hold the requests that ignored what servers had declared."""
+    """Hold the requests that ignored what servers had declared, or their slots."""
 
     over_limit: int
     after_leaving: int
+    over_room: int
 
 
 class Soak:
@@ -87,7 +101,8 @@
         self.callers: dict[str, Proxy] = {}
         self.load = LoadGenerator(self._addresses, rng)
         self.faults: Counter[str] = Counter()
-        self.reverted = self.cut_off = self.edits = 0
+        self.reverted = self.cut_off = self.edits = self.left = 0
+        self._leaving: set[asyncio.Task[None]] = set()
         self.harmed: Counter[str] = Counter()
         self._in_force: dict[str, int] = {}
 
@@ -98,7 +113,17 @@
         """Start the nodes, with a proxy to each backend server and each daemon's callers' port."""
         for index in range(count):
             service, instance = SERVICES[index % len(SERVICES)], f"i-{index}"
-            place = NodeSpec(f"dc-{index % 2}", "region", service, 6, 130, instance=instance)
+            place = NodeSpec(
+                f"dc-{index % 2}",
+                "region",
+                service,
+                SLOTS,
+                130,
+                WORK_MS,
+                instance=instance,
+                queue=QUEUE,
+                on_close=ON_CLOSE[index % len(ON_CLOSE)],
+            )
             node = Node(place, await self.fleet.start_daemon(place), None)
             self.fleet.nodes.append(node)
             await self._start_server(node)
@@ -206,6 +231,26 @@
             finally:
                 self.harmed[f"busy {node.address}"] = 0
 
+    async def leave(self, rng: random.Random) -> None:
+        """Let many callers ask the same and leave, now and then."""
+        kinds = [kind for kind in KINDS if kind.idempotent and not kind.size and not kind.body]
+        while True:
+            await asyncio.sleep(rng.expovariate(1 / LEAVERS_EVERY_S))
+            kind = rng.choice(kinds)
+            for _ in range(int(LEAVERS_S * LEAVERS_PER_S)):
+                task = asyncio.create_task(self._ask_and_leave(kind, rng))
+                self._leaving.add(task)
+                task.add_done_callback(self._leaving.discard)
+                await asyncio.sleep(rng.expovariate(LEAVERS_PER_S))
+
+    async def _ask_and_leave(self, kind: Kind, rng: random.Random) -> None:
+        client = HttpClient(rng.choice(self._addresses()), rng.uniform(*LEAVE_AFTER_S))
+        self.left += 1
+        try:
+            await call(client, kind, f"left-{self.left}")
+        finally:
+            client.close()
+
     async def end_declaring(self, tasks: Iterable[asyncio.Task[None]]) -> None:
         """End what servers declare, and wait for those that leave to start again."""
         for task in tasks:
@@ -265,7 +310,8 @@
         over_limit = sum(report["over_limit"] for report in reports)
         leavings = [leaving for report in reports for leaving in report["leavings"]]
         after_leaving = sum(len(leaving["late"]) for leaving in leavings)
-        ignored = Ignored(over_limit, after_leaving)
+        over_room = sum(report["over_room"] for report in reports)
+        ignored = Ignored(over_limit, after_leaving, over_room)
         return audit(self.load.outcomes, reports), violations, ignored
 
 
@@ -328,11 +374,13 @@
         asyncio.create_task(soak.declare(random.Random(f"{seed} declarations {number}")))
         for number in range(DECLARERS)
     ]
+    leaving = asyncio.create_task(soak.leave(random.Random(f"{seed} leavers")))
     under_way = []
     for _ in range(steps):
         under_way.append(asyncio.create_task(soak.one_fault()))
         await asyncio.sleep(rng.expovariate(2.0))
     await asyncio.gather(*under_way)
+    leaving.cancel()
     await soak.end_declaring(declaring)
     await asyncio.sleep(SETTLE_S)
     version = await soak.edit()
@@ -359,6 +407,7 @@
         violations,
         declared.over_limit,
         declared.after_leaving,
+        declared.over_room,
         int(not converged),
         int(served < LEAST_ANSWERED_AFTER * len(after)),
     )
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -39,6 +39,7 @@
 CONTAINMENT = "features/containment.feature"
 LIMITS = "features/limits.feature"
 RATE_LIMITS = "features/rate_limits.feature"
+ROOM = "features/room.feature"
 
 
 class Mutant(NamedTuple):
@@ -62,6 +63,91 @@
         ),
         LIMITS,
     ),
+    Mutant(
+        "a request that was cut off keeps its slot",
+        "hornbeamgw/daemon/gate.py",
+        (
+            (
+                "            self._abandon(attempt, attempt.abandoned, was_processed, now)",
+                "            attempt.abandoned.abort()\n"
+                "            decisions = admission.finish(self.state, attempt.id, started, now)",
+            ),
+        ),
+        ROOM,
+    ),
+    Mutant(
+        "a closed connection does not prove that the work has stopped",
+        "hornbeamgw/core/occupancy.py",
+        (
+            (
+                "return cut.closed_at if habits.stops_on_close else",
+                "return cut.closed_at if True else",
+            ),
+        ),
+        ROOM,
+    ),
+    Mutant(
+        "a server that stops what is cut off is learned",
+        "hornbeamgw/core/occupancy.py",
+        (("    habits.stops_on_close = True", "    habits.stops_on_close = False"),),
+        ROOM,
+    ),
+    Mutant(
+        "health checks that wait for nothing teach nothing",
+        "hornbeamgw/core/occupancy.py",
+        (
+            (
+                "    if running >= state.slots:\n        habits",
+                "    if running >= 1000 * state.slots:\n        habits",
+            ),
+        ),
+        ROOM,
+    ),
+    Mutant(
+        "a server may work on for the former process of its daemon",
+        "hornbeamgw/daemon/gate.py",
+        (("        self.state.former_work_until = until", "        pass"),),
+        ROOM,
+    ),
+    Mutant(
+        "what was cut off does not make requests seem short",
+        "hornbeamgw/core/admission.py",
+        (
+            (
+                "        record = service_times.record if cut_at is None else occupancy.record_cut",
+                "        record = service_times.record",
+            ),
+        ),
+        ROOM,
+    ),
+    Mutant(
+        "work that can't end before its deadline is not begun",
+        "hornbeamgw/core/queueing.py",
+        (
+            (
+                "return start >= request.deadline or not _can_meet_deadline(",
+                "return start >= request.deadline or False and not _can_meet_deadline(",
+            ),
+        ),
+        ROOM,
+    ),
+    Mutant(
+        "slots that a server has taken back are not told as free",
+        "hornbeamgw/core/queueing.py",
+        (
+            (
+                "    free = sorted(free)[max(0, len(free) - state.slots) :]",
+                "    free = sorted(free)",
+            ),
+        ),
+        "features/queueing.feature",
+    ),
+    Mutant(
+        "an old report does not keep calls from a server",
+        "hornbeamgw/core/balancing.py",
+        (("    return now - load.reported_at <= REPORT_MAX_AGE_S", "    return True"),),
+        LIMITS,
+    ),
     Mutant(
         "a server gets no more requests per second than it takes",
         "hornbeamgw/core/rate_limit.py",
