Fill servers with callers that leave in the fleet soak, and keep margins

The mean now counts 1.25 times. A cut-off request whose answer has begun is closed as a whole: its server ends with the next write, and need not send the rest. A gauge tells how many slots are used by requests that were cut off.

--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -29,6 +29,8 @@
 # Mean absolute deviations above the mean service time that few requests exceed: one in 50 of an
 # exponential distribution.
 LONGEST_DEVIATIONS = 4.0
+# Margin for servers that are slower while they are busy, relative to the mean service time.
+MEAN_MARGIN_FACTOR = 1.25
 # A request whose connection stays open without an answer counts as lost after this multiple of the
 # longest service time, if the server has shown signs of life in between.
 SILENT_FACTOR = 2.0
@@ -76,7 +78,7 @@
         if cut.closed_at is None or cut.closed_at > cut.cut_at:
             longest = max(longest, cut.deadline - cut.started_at)
         return min(MAX_HOLD_S, longest)
-    return known.mean + LONGEST_DEVIATIONS * known.deviation
+    return MEAN_MARGIN_FACTOR * known.mean + LONGEST_DEVIATIONS * known.deviation
 
 
 def free_at(habits: ServerHabits, times: ServiceTimes, cut: CutRequest) -> float:
--- a/hornbeamgw/daemon/abandoned.py
+++ b/hornbeamgw/daemon/abandoned.py
@@ -49,10 +49,6 @@
         self._counts = counts
         self._tasks: dict[asyncio.Task[str], OnEnded] = {}
 
-    def __len__(self) -> int:
-        """Return the number of abandoned requests that count as running."""
-        return len(self._tasks)
-
     def watch(
         self,
         attempt: AttemptId,
--- a/hornbeamgw/daemon/admin.py
+++ b/hornbeamgw/daemon/admin.py
@@ -133,6 +133,7 @@
             exposition.gauge("members", len(membership.reachable(self._control.view))),
             exposition.gauge("slots", sum(gate.slots for gate in gates)),
             exposition.gauge("running", sum(len(gate.running_by_attempt) for gate in gates)),
+            exposition.gauge("cut_off", sum(len(gate.cuts_by_attempt) for gate in gates)),
             exposition.gauge("waiting", sum(len(gate.queue) for gate in gates)),
             exposition.gauge(
                 "rate_limited", sum(rate_limit.is_limited(gate.rate_limit) for gate in gates)
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -150,9 +150,10 @@
                 pump.cancel()
                 with contextlib.suppress(asyncio.CancelledError, ConnectionLost, h11.ProtocolError):
                     await pump
-            if attempt.is_answer_due:
+            if attempt.is_answer_due and not attempt.answered_at:
                 attempt.abandoned = connection
             else:
+                # A server that sends its answer ends with the first write to a closed connection.
                 self.pool.release(connection)
 
     def _send_request(
--- a/properties/fleet_soak.py
+++ b/properties/fleet_soak.py
@@ -38,12 +38,12 @@
 ON_CLOSE = (OnClose.DROP, OnClose.WORK, OnClose.ANSWER)
 SLOTS = 6
 QUEUE = 2
-WORK_MS = 40.0
+WORK_MS = 80.0
 # Bursts of callers that leave, each of one kind: more than a server has slots for.
 LEAVERS_PER_S = 250.0
 LEAVERS_S = 0.7
 LEAVERS_EVERY_S = 2.5
-LEAVE_AFTER_S = (0.005, 0.08)
+LEAVE_AFTER_S = (0.01, 0.08)
 DECLARERS = 2
 DECLARE_EVERY_S = 0.5
 DECLARED_S = (4.5, 6.0)  # longer than the window in which a limit is judged
