Hold the slots of lost connections for the typical time where nothing is measured

Now it is three times what the caller's daemon takes for typical, up to the deadline that the server was told. The planned soak counts what exceeds the room, too.

--- a/features/room.feature
+++ b/features/room.feature
@@ -33,6 +33,12 @@
     And callers ask 40 times a second for 3 seconds, and each connection to the server is lost after 50 ms
     Then the server has never had more than 4 requests at once
 
+  # Guards against lost connections that count as the end of requests of which nothing is known yet.
+  Scenario: What a lost connection cuts off does not make room before any request has been answered
+    Given a server with 4 slots that works on behind a closed connection, beside one of two daemons
+    When callers ask 40 times a second for 2 seconds, and each connection to the server is lost after 50 ms
+    Then the server has never had more than 4 requests at once
+
   # Guards against slots that are held for requests that a server has dropped.
   Scenario: A server that drops what is cut off is used as if it had not been sent
     Given a server with 4 slots that drops what is cut off, beside one of two daemons
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -125,7 +125,7 @@
     )
     knew = knew._replace(outcome=knew.outcome._replace(request_id="knew"))
     leaving = {"told": ["knew"], "late": [REQUEST_ID]}
-    report = {"worked": {}, "leavings": [leaving], "over_limit": 0}
+    report = {"worked": {}, "leavings": [leaving], "over_limit": 0, "over_room": 0}
     breaches = planned_soak.ignored_declarations(
         [knew, late], [context.stop], Records({DAEMON: report})
     )
--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -34,10 +34,9 @@
 # A request whose connection stays open without an answer counts as lost after this multiple of the
 # longest service time, if the server has shown signs of life in between.
 SILENT_FACTOR = 2.0
-# The same for a server of which nothing has been measured, relative to the time until the cut.
+# Longest service time at a server of which nothing has been measured, relative to the time until
+# the cut and to the typical service time.
 UNMEASURED_FACTOR = 3.0
-# Longest service time of a request sent through a lost daemon, relative to the typical one.
-FORMER_WORK_FACTOR = 3.0
 # Longest time after the cut for which a request counts as running at a server without any sign of
 # life.
 MAX_HOLD_S = 10.0
@@ -63,20 +62,21 @@
 
     It was sent at `started_at` (s), and requests of its route typically take `typical` seconds.
     """
-    return started_at + min(MAX_HOLD_S, FORMER_WORK_FACTOR * typical)
+    return started_at + min(MAX_HOLD_S, UNMEASURED_FACTOR * typical)
 
 
 def longest_time(times: ServiceTimes, cut: CutRequest) -> float:
     """Return the time in seconds that a request may take from its start.
 
-    A server of which nothing has been measured is expected to keep its deadline, if that is later,
-    unless it has closed the connection itself.
+    A server of which nothing has been measured is expected to keep its deadline, and to take at
+    most a multiple of the typical service time, unless that has passed already.
     """
     known = times.estimates_by_route.get(cut.route)
     if known is None:
-        longest = UNMEASURED_FACTOR * (cut.cut_at - cut.started_at)
-        if cut.closed_at is None or cut.closed_at > cut.cut_at:
-            longest = max(longest, cut.deadline - cut.started_at)
+        until_cut = cut.cut_at - cut.started_at
+        until_deadline = cut.deadline - cut.started_at
+        typical = UNMEASURED_FACTOR * cut.typical or until_deadline
+        longest = max(UNMEASURED_FACTOR * until_cut, min(until_deadline, typical))
         return min(MAX_HOLD_S, longest)
     return MEAN_MARGIN_FACTOR * known.mean + LONGEST_DEVIATIONS * known.deviation
 
--- a/hornbeamgw/core/slots.py
+++ b/hornbeamgw/core/slots.py
@@ -201,6 +201,8 @@
         Times (s) at which it was sent to the server and cut off.
     deadline : float
         Time (s) at which the server was told to give up.
+    typical : float
+        Service time in seconds that its caller's daemon expects, 0 if unknown.
     closed_at : float or None
         Time (s) at which the server closed the connection; None if it is still open.
     """
@@ -209,6 +211,7 @@
     started_at: float
     cut_at: float
     deadline: float
+    typical: float = 0.0
     closed_at: float | None = None
 
 
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -587,7 +587,8 @@
         `has_expired` is whether its deadline has passed.
         """
         started = attempt.started_at
-        cut = CutRequest(attempt.call.route, started, now, attempt.deadline)
+        typical = attempt.call.typical_service_ms / 1000
+        cut = CutRequest(attempt.call.route, started, now, attempt.deadline, typical)
 
         def on_ended(was_answered: bool) -> None:
             ended_at = asyncio.get_running_loop().time()
--- a/properties/planned_soak.py
+++ b/properties/planned_soak.py
@@ -333,7 +333,7 @@
 
 
 def ignored_declarations(told: list[Told], stops: list[Stop], records: Records) -> list[Breach]:
-    """Return the requests that ignored what servers had declared."""
+    """Return the requests that ignored what servers had declared, or their slots."""
     ends = [(stop.daemon, stop.ended_at) for stop in stops]
     breaches = []
     for address, report in records.reports.items():
@@ -345,6 +345,9 @@
         if report["over_limit"]:
             reason = f"{report['over_limit']} requests over the limit of the server"
             breaches.append(Breach("over_limit", "", "", address, None, None, 0, 0, reason, [], ""))
+        if report["over_room"]:
+            reason = f"{report['over_room']} requests over the slots of the server"
+            breaches.append(Breach("over_room", "", "", address, None, None, 0, 0, reason, [], ""))
     return breaches
 
 
