Give up the connection of an attempt that ends with its server's run

Found on reading the change: an attempt that was stopped because another run of its server was announced left its connection counted as open, against those that the next run allows. The same for an unexpected error while the end of a request is awaited, which would have kept the slot: it is logged, and the slot is free. reborn.feature, 'No connection is kept to a run that ended while it worked', fails without this (1 connection) and passes. An answer that had come before the connection was lost counts as one.

--- a/features/reborn.feature
+++ b/features/reborn.feature
@@ -53,6 +53,12 @@
     Then the lookup may have run, for its server broke
     And the gate takes new work and knows nothing of how fast its server is
 
+  # Guards against connections to a run that has ended, which count against those to the next one.
+  Scenario: No connection is kept to a run that ended while it worked
+    Given a gate that runs a lookup at "i-1" started at 1000, and knows it as slow and draining
+    When "i-1" is announced as started at 2000
+    Then the gate has no connection to a server
+
   Scenario: Nothing is kept of a run that ended before the next one was announced
     Given a gate that runs a lookup at "i-1" started at 1000, and knows it as slow and draining
     When "i-1" leaves, and is announced as started at 2000
--- a/features/steps/reborn.py
+++ b/features/steps/reborn.py
@@ -159,6 +159,12 @@
     assert not state.running_by_attempt
 
 
+@then("the gate has no connection to a server")
+def no_connection(context):
+    pool = context.gate.exchange.pool
+    assert pool.opened_count and not pool._open, (pool.opened_count, pool._open)
+
+
 # Other daemons
 
 
--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -46,8 +46,8 @@
 # this time, which a check itself takes at a server with a free slot.
 CHECK_S = 0.01
 MIN_WAIT_PROBABILITY = 0.8
-# Evidence from which a server counts as one that stops the work. The evidence of a server that goes
-# on reaches it once in as many servers at most.
+# Evidence from which a server counts as one that stops the work. From 1, the evidence of a server
+# that goes on reaches it with a probability of one in as many at most.
 MIN_EVIDENCE = 100.0
 # Ratio of the standard deviation to the mean absolute deviation of a normal distribution.
 DEVIATION_RATIO = 1.25
--- a/hornbeamgw/daemon/abandoned.py
+++ b/hornbeamgw/daemon/abandoned.py
@@ -39,6 +39,17 @@
         return False
 
 
+def _how_ended(task: asyncio.Task[str], call_id: str) -> str:
+    """Return how the wait for the end of a request ended; log an error."""
+    if task.cancelled():
+        return "server ended"
+    error = task.exception()
+    if error is None:
+        return task.result()
+    log.error("waiting for a request failed", extra={"call_id": call_id}, exc_info=error)
+    return "error"
+
+
 class AbandonedRequests:
     """The requests at one backend server whose answers nobody waits for any longer."""
 
@@ -61,9 +72,7 @@
 
         `on_ended` is then called, with whether the server has answered.
         """
-        if connection.lost:
-            cut = cut._replace(closed_at=cut.cut_at)
-        elif connection.http.our_state is h11.DONE and not connection.unsent_bytes():
+        if connection.http.our_state is h11.DONE and not connection.unsent_bytes():
             connection.half_close()
         else:
             # The server has not received the whole request.
@@ -103,7 +112,7 @@
         self, task: asyncio.Task[str], call_id: str, cut: CutRequest, connection: HttpConnection
     ) -> None:
         on_ended = self._tasks.pop(task)
-        how = "server ended" if task.cancelled() else task.result()
+        how = _how_ended(task, call_id)
         if how == "answered":
             self._pool.retire(connection)
         else:
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -572,6 +572,8 @@
         if attempt.abandoned is not None and attempt.stop_failure is None:
             self._abandon(attempt, attempt.abandoned, was_processed, now)
         else:
+            if attempt.abandoned is not None:
+                self.exchange.pool.discard(attempt.abandoned)
             decisions = admission.finish(self.state, attempt.id, started, now, was_processed)
         if failure is not None:
             self.counts[f"failed.{failure.reason}"] += 1
