Keep the slots of a server that stood still until it has had the time

Cause: requests whose connection stayed open counted as lost at the first sign of life of the server, which is when it begins them. Now their slots are used for as long as such a request may take from that sign on. queueing.feature, 'What a server that stood still has not begun keeps its slot until it has had the time', guards it.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -20,6 +20,12 @@
     When the server announces 2 slots
     Then a lookup of 60 ms with an objective of 200 ms is told a wait of 60 ms
 
+  # Guards against slots taken for free as soon as a server that stood still shows signs of life.
+  Scenario: What a server that stood still has not begun keeps its slot until it has had the time
+    Given requests that take 60 ms, one of which was cut off after 20 ms at a server that stood still
+    When the server shows signs of life after 2000 ms
+    Then the slot of that request is in use at 2050 ms, and free at 2200 ms
+
   Scenario: Short work goes before long work that can spare the time
     Given a busy server whose 6 slots hold work of 60 ms that has just begun
     When a report of 240 ms with an objective of 600 ms arrives
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -6,8 +6,10 @@
 
 from behave import given, then, when
 
-from hornbeamgw.core import admission, service_times
+from hornbeamgw.core import admission, occupancy, service_times
 from hornbeamgw.core.admission import Admitted, AttemptId, Queued, Refused, Request
+from hornbeamgw.core.service_times import ServiceTimes
+from hornbeamgw.core.slots import CutRequest, ServerHabits
 from hornbeamgw.testing import simulated
 from hornbeamgw.testing.simulated import HIGH_LIMITS, Fleet, Kind
 
@@ -70,6 +72,29 @@
     fill(context, n, n, work, age)
 
 
+@given(
+    "requests that take {work:d} ms, one of which was cut off after {cut_ms:d} ms"
+    " at a server that stood still"
+)
+def cut_off(context, work, cut_ms):
+    context.times, context.habits = ServiceTimes(), ServerHabits()
+    for _ in range(50):
+        service_times.record(context.times, "work", work / 1000)
+    context.cut = CutRequest("work", 0.0, cut_ms / 1000, 1.0)
+
+
+@when("the server shows signs of life after {ms:d} ms")
+def alive(context, ms):
+    context.habits.alive_at = ms / 1000
+
+
+@then("the slot of that request is in use at {used:d} ms, and free at {free:d} ms")
+def slot_used(context, used, free):
+    cut = occupancy.with_life(context.habits, context.times, context.cut)
+    found = 1000 * occupancy.free_at(context.habits, context.times, cut)
+    assert used < found <= free, found
+
+
 @given("{count:d} more that are {age:d} ms old")
 def older(context, count, age):
     for _ in range(count):
--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -31,9 +31,6 @@
 LONGEST_DEVIATIONS = 4.0
 # Margin for servers that are slower while they are busy, relative to the mean service time.
 MEAN_MARGIN_FACTOR = 1.25
-# A request whose connection stays open without an answer counts as lost after this multiple of the
-# longest service time, if the server has shown signs of life in between.
-SILENT_FACTOR = 2.0
 # Longest service time at a server of which nothing has been measured, relative to the time until
 # the cut and to the typical service time.
 UNMEASURED_FACTOR = 3.0
@@ -82,13 +79,21 @@
 
 
 def free_at(habits: ServerHabits, times: ServiceTimes, cut: CutRequest) -> float:
-    """Return the time (s) at which the slot of a request without an answer counts as free."""
+    """Return the time (s) at which the slot of a request without an answer counts as free.
+
+    A server that stood still may begin the work only when it shows signs of life again.
+    """
     longest = longest_time(times, cut)
     if cut.closed_at is not None:
         return cut.closed_at if habits.stops_on_close else cut.started_at + longest
-    if habits.alive_at > cut.started_at + longest:
-        return max(cut.cut_at, cut.started_at + SILENT_FACTOR * longest)
-    return cut.cut_at + MAX_HOLD_S
+    return cut.cut_at + MAX_HOLD_S if cut.alive_at is None else cut.alive_at + longest
+
+
+def with_life(habits: ServerHabits, times: ServiceTimes, cut: CutRequest) -> CutRequest:
+    """Return a request with the server's first sign of life after its expected end."""
+    if cut.alive_at is None and habits.alive_at > cut.started_at + longest_time(times, cut):
+        return cut._replace(alive_at=habits.alive_at)
+    return cut
 
 
 def record_cut(times: ServiceTimes, route: str, elapsed: float) -> None:
--- a/hornbeamgw/core/slots.py
+++ b/hornbeamgw/core/slots.py
@@ -205,6 +205,8 @@
         Service time in seconds that its caller's daemon expects, 0 if unknown.
     closed_at : float or None
         Time (s) at which the server closed the connection; None if it is still open.
+    alive_at : float or None
+        Time (s) of the server's first sign of life after the expected end of the request.
     """
 
     route: str
@@ -213,6 +215,7 @@
     deadline: float
     typical: float = 0.0
     closed_at: float | None = None
+    alive_at: float | None = None
 
 
 class ServerHabits:
--- a/hornbeamgw/daemon/abandoned.py
+++ b/hornbeamgw/daemon/abandoned.py
@@ -97,6 +97,7 @@
                     cut = self._state.cuts_by_attempt[attempt] = cut._replace(closed_at=now)
                     self._pool.discard(connection)
                 times = self._state.service_time_estimates
+                cut = occupancy.with_life(self._state.habits, times, cut)
                 free_at = occupancy.free_at(self._state.habits, times, cut)
                 if now >= free_at:
                     return "silent" if cut.closed_at is None else "closed"
