Hold the port that a daemon has chosen until it listens

Cause: a daemon whose port is 0 tried a random port of 12,000, closed its sockets, and bound the port again when it started. Two daemons that were created before either listened could choose the same one: one in 180 for 12 daemons. The one that came second did not start.

Fix: the sockets that found the port free are those that are used. A port that is named is bound at the start as before.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -31,6 +31,11 @@
     When 12 daemons start at once with nothing
     Then all have version 3 in force and the platform served less than 40 reads
 
+  # A daemon that is to choose its port ends at its start if another one chose the same just before.
+  Scenario: Daemons that choose their ports at the same time take different ones
+    When 3 daemons that draw the same random ports are created and then start
+    Then each of them listens at an address of its own
+
   Scenario: Nobody reverts through restarts and changes
     When daemons restart one after another while versions are accepted
     Then no invariant was violated
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from unittest import mock
 
 from behave import given, then, when
 
@@ -10,6 +12,7 @@
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.committer import Committed
 from hornbeamgw.daemon.http1 import HttpClient, header
+from hornbeamgw.daemon.main import Daemon
 from hornbeamgw.testing.local import LocalFleet, edit_from_bodies, queue_limit_edit, wait_for
 
 BODIES = {
@@ -162,6 +165,24 @@
     assert served < reads, served
 
 
+@when("{count:d} daemons that draw the same random ports are created and then start")
+def same_ports(context, count):
+    settings = context.fleet.settings()
+    with mock.patch("random.SystemRandom", lambda: random.Random(count)):
+        context.fleet.daemons += [Daemon(settings, seed) for seed in range(count)]
+
+    async def start():
+        starting = [daemon.start() for daemon in context.fleet.daemons[-count:]]
+        context.addresses = [addresses["address"] for addresses in await asyncio.gather(*starting)]
+
+    context.runner.run(start())
+
+
+@then("each of them listens at an address of its own")
+def own_addresses(context):
+    assert len(set(context.addresses)) == len(context.addresses), context.addresses
+
+
 @when("daemons restart one after another while versions are accepted")
 def restarts(context):
     async def run():
--- a/hornbeamgw/daemon/control.py
+++ b/hornbeamgw/daemon/control.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import random
+import socket
 import time
 from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping, Sequence
@@ -84,12 +85,12 @@
         """Known versions of the catalogue."""
         return self.node.versions
 
-    async def start(self, address: str) -> None:
-        """Bind the UDP socket and start probing; raise OSError on failure."""
+    async def start(self, bound: socket.socket) -> None:
+        """Receive datagrams on a bound UDP socket and start probing; raise OSError on failure."""
         loop = asyncio.get_running_loop()
         self.last_contact_at = loop.time()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _UdpProtocol(self._on_datagram), local_addr=split_address(address)
+            lambda: _UdpProtocol(self._on_datagram), sock=bound
         )
         self.spawn(self._probe_loop())
 
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -7,7 +7,6 @@
 import os
 import random
 import signal
-import socket
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -21,7 +20,7 @@
 from hornbeamgw.core.exposure import ExposureBound
 from hornbeamgw.core.finding import Finding
 from hornbeamgw.core.membership import Member
-from hornbeamgw.core.options import Settings, split_address
+from hornbeamgw.core.options import Settings
 from hornbeamgw.core.retry_budget import Bound, BudgetState
 from hornbeamgw.core.snapshot import Snapshot
 from hornbeamgw.core.standing import RolloutStatus
@@ -46,7 +45,7 @@
     json_response,
     read_body,
 )
-from hornbeamgw.daemon.peers import PeerServer
+from hornbeamgw.daemon.peers import PeerServer, reserve
 from hornbeamgw.daemon.planned_stop import GracefulStop
 from hornbeamgw.daemon.presence import OwnRow
 from hornbeamgw.daemon.quarantine import Quarantine
@@ -65,9 +64,6 @@
 STATSD_INTERVAL_S = 5.0
 CHECK_INTERVAL_S = 0.1
 ADOPTION_POLL_INTERVAL_S = 0.01
-MAX_PORT_ATTEMPTS = 20
-# Below the ephemeral ports that Linux assigns to outgoing connections (32,768 and above).
-PORT_RANGE = (20_000, 32_000)
 BYTES_PER_MBIT = 125_000
 # Keeps the bandwidth in bytes per second within the 64-bit field of a member record.
 MAX_BANDWIDTH_MBIT_PER_S = 1e6
@@ -81,8 +77,9 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         """Create the components without starting them; `seed` is for random numbers."""
         rng = random.Random(seed)
+        self._reservation = reserve(settings.address, random.SystemRandom())
         me = Member(
-            _pick_port(settings.address, random.SystemRandom()),
+            self._reservation.address,
             settings.data_centre,
             settings.region,
             time.time_ns() // 1_000_000,
@@ -225,8 +222,9 @@
     async def start(self) -> dict[str, str]:
         """Start all listeners and tasks and return the bound addresses; raise OSError."""
         address = self.control.view.me.address
-        await self.peers.start(address)
-        await self.control.start(address)
+        sockets = self._reservation.bind()
+        await self.peers.start(sockets.tcp)
+        await self.control.start(sockets.udp)
         admin = await self.admin.start(self.settings.admin)
         callers = await self.callers.start(self.settings.callers)
         addresses = {"address": address, "admin": admin, "callers": callers}
@@ -413,30 +411,6 @@
     return None if registry is None else HttpServer(registry.on_request, timeouts)
 
 
-def _pick_port(address: str, rng: random.Random) -> str:
-    """Return the address; if its port is 0, replace it by a port that is free for TCP and UDP.
-
-    Ephemeral ports are not used, because an outgoing connection could occupy the port before the
-    daemon binds it or while the daemon restarts.
-    """
-    host, port = split_address(address)
-    if port:
-        return address
-    for _ in range(MAX_PORT_ATTEMPTS):
-        port = rng.randrange(*PORT_RANGE)
-        with (
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
-        ):
-            try:
-                tcp.bind((host, port))
-                udp.bind((host, port))
-            except OSError:
-                continue
-            return f"{host}:{port}"
-    raise OSError(f"no port on {host} is free for both TCP and UDP")
-
-
 async def _serve(settings: Settings, print_addresses: bool, path: str) -> int:
     daemon = Daemon(settings, int.from_bytes(os.urandom(8), "big"))
     addresses = await daemon.start()
--- a/hornbeamgw/daemon/peers.py
+++ b/hornbeamgw/daemon/peers.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import socket
+from typing import NamedTuple
 
 from hornbeamgw.core.options import split_address
 from hornbeamgw.daemon import frames
@@ -12,6 +15,70 @@
 from hornbeamgw.daemon.reader import Reader
 
 ACK_POLL_INTERVAL_S = 0.01
+MAX_PORT_ATTEMPTS = 20
+# Below the ephemeral ports that Linux assigns to outgoing connections (32,768 and above).
+PORT_RANGE = (20_000, 32_000)
+
+
+class BoundSockets(NamedTuple):
+    """The sockets of a daemon's address, of which that for TCP does not listen yet."""
+
+    tcp: socket.socket
+    udp: socket.socket
+
+
+class Reservation(NamedTuple):
+    """The address of a daemon, with the sockets that hold its port if the port was chosen."""
+
+    address: str
+    held: BoundSockets | None
+
+    def bind(self) -> BoundSockets:
+        """Return the bound sockets; raise OSError if the address is in use."""
+        sockets = self.held or _open_sockets(self.address)
+        # Lets the address be bound beside connections of the daemon's former process.
+        sockets.tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.held is None:
+            _bind(sockets, self.address)
+        return sockets
+
+
+def reserve(address: str, rng: random.Random) -> Reservation:
+    """Reserve an address, whose port 0 stands for one free for TCP and UDP; raise OSError.
+
+    Ephemeral ports are not used, because an outgoing connection could occupy the port while the
+    daemon restarts.
+    """
+    host, port = split_address(address)
+    if port:
+        return Reservation(address, None)
+    for _ in range(MAX_PORT_ATTEMPTS):
+        chosen = f"{host}:{rng.randrange(*PORT_RANGE)}"
+        sockets = _open_sockets(chosen)
+        try:
+            _bind(sockets, chosen)
+        except OSError:
+            continue
+        return Reservation(chosen, sockets)
+    raise OSError(f"no port on {host} is free for both TCP and UDP")
+
+
+def _open_sockets(address: str) -> BoundSockets:
+    host, _ = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return BoundSockets(
+        socket.socket(family, socket.SOCK_STREAM), socket.socket(family, socket.SOCK_DGRAM)
+    )
+
+
+def _bind(sockets: BoundSockets, address: str) -> None:
+    try:
+        for opened in sockets:
+            opened.bind(split_address(address))
+    except OSError:
+        for opened in sockets:
+            opened.close()
+        raise
 
 
 class PeerServer:
@@ -25,11 +92,10 @@
         self._server: asyncio.Server | None = None
         self.links: set[Link] = set()
 
-    async def start(self, address: str) -> None:
-        """Start to listen; raise OSError on failure."""
-        host, port = split_address(address)
+    async def start(self, bound: socket.socket) -> None:
+        """Listen on a bound TCP socket; raise OSError on failure."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, host, port, backlog=1024)
+        self._server = await loop.create_server(self._accept, sock=bound, backlog=1024)
 
     def _accept(self) -> Link:
         link = Link(self._control.hello, self._on_frame, self._on_lost, self._control.record_fault)
