Learn sooner that a server stops what is cut off

Cause: the evidence of a check was 0.5 / sqrt(p), p the probability of a free slot by then if the server goes on: little for a prompt answer, and half whenever another request ended during the check. Checks were only sent as requests arrived, long after the cut, when p has grown.

Change: a check is prompt (within 10 ms) or not, and its evidence is the ratio of the two probabilities of that, with a margin for inexact estimates. One that another request's end explains counts 0.7. A failed check counts as not prompt; before, it was left out, so that the lucky ones would have counted alone. A check is also considered when the server closes a connection. Two checks must have been seen to wait over 10 ms at a full server first; before one, of any length.

--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -39,12 +39,20 @@
 MAX_HOLD_S = 10.0
 # Interval between two health checks of a server.
 CHECK_INTERVAL_S = 0.05
-# A health check is sent only if it could be expected to wait, with at least this probability, for
-# this time, which a check itself takes at a server with a free slot.
+# A health check that is answered within this time has not waited for a slot. One is sent only if it
+# could be expected to wait longer, with at least the given probability.
 CHECK_S = 0.01
 MIN_WAIT_PROBABILITY = 0.8
-# Evidence from which a server counts as one that stops the work. From 1, the evidence of a server
-# that goes on reaches it with a probability of one in as many at most.
+# Checks that must have been seen to wait while other requests used all slots.
+MIN_WAITS = 2
+# Probability that a check is answered within `CHECK_S` at a server with a free slot.
+PROMPT_PROBABILITY = 0.9
+# Added to the probability of a free slot, as the estimates of service times are inexact.
+ESTIMATE_MARGIN = 0.1
+# Likelihood ratio of a prompt answer after another request has ended, which explains it as well.
+EXPLAINED_RATIO = 0.7
+# Evidence from which a server counts as one that stops the work. The evidence of a server that goes
+# on reaches it with a probability of one in as many at most.
 MIN_EVIDENCE = 100.0
 # Ratio of the standard deviation to the mean absolute deviation of a normal distribution.
 DEVIATION_RATIO = 1.25
@@ -115,6 +123,7 @@
     server stops the work on requests that are cut off.
     """
 
+    NOTHING = "nothing"
     WAITED = "waited"
     NO_WAIT = "no_wait"
     WEIGHED = "weighed"
@@ -122,10 +131,21 @@
 
 
 class SlotCheck(NamedTuple):
-    """A health check under way; `running` holds the requests that ran when it was sent."""
+    """A health check under way.
+
+    Attributes
+    ----------
+    sent_at : float
+        Time (s) at which it was sent.
+    running : frozenset
+        The requests that ran then and had not been cut off.
+    free_probability : float
+        Probability that it finds a free slot within `CHECK_S` if no request was stopped.
+    """
 
     sent_at: float
     running: frozenset[AttemptId]
+    free_probability: float
 
 
 def _running(state: AdmissionState) -> frozenset[AttemptId]:
@@ -151,18 +171,14 @@
     return min(normal, math.exp((cut.cut_at - now) / known.mean))
 
 
-def _survivals(state: AdmissionState, cut_until: float, now: float) -> list[float]:
-    """Return the probabilities that requests still run that were cut off before a time (s)."""
+def _free_slot_probability(state: AdmissionState, running: int, until: float) -> float:
+    """Return the probability of a free slot at a time (s) if no request is stopped."""
     estimates = state.service_time_estimates.estimates_by_route
-    return [
-        _survival(estimates[cut.route], cut, now)
+    survivals = [
+        _survival(estimates[cut.route], cut, until)
         for cut in state.cuts_by_attempt.values()
-        if cut.route in estimates and cut.closed_at is not None and cut.closed_at <= cut_until
+        if cut.route in estimates and cut.closed_at is not None
     ]
-
-
-def _free_slot_probability(running: int, survivals: list[float], slots: int) -> float:
-    """Return the probability of a free slot if no request was stopped."""
     # The probability of each number of requests that have ended.
     ended = [1.0]
     for survival in survivals:
@@ -171,7 +187,7 @@
             + (ended[n - 1] * (1 - survival) if n else 0.0)
             for n in range(len(ended) + 1)
         ]
-    return sum(ended[max(0, running + len(survivals) - slots + 1) :])
+    return sum(ended[max(0, running + len(survivals) - state.slots + 1) :])
 
 
 def is_check_due(state: AdmissionState, now: float) -> bool:
@@ -184,33 +200,48 @@
     if rate_limit.is_limited(state.rate_limit):
         return False
     running = len(_running(state))
-    if not habits.is_check_tried:
+    if habits.checks_waited < MIN_WAITS:
         return running >= state.slots
-    survivals = _survivals(state, now, now + CHECK_S)
-    free = _free_slot_probability(running, survivals, state.slots)
+    free = _free_slot_probability(state, running, now + CHECK_S)
     return running < state.slots and free <= 1 - MIN_WAIT_PROBABILITY
 
 
 def begin_check(state: AdmissionState, now: float) -> SlotCheck:
     """Return a check that is sent now."""
     state.habits.next_check_at = now + CHECK_INTERVAL_S
-    return SlotCheck(now, _running(state))
+    running = _running(state)
+    free = _free_slot_probability(state, len(running), now + CHECK_S)
+    return SlotCheck(now, running, free)
+
+
+def _likelihood_ratio(is_prompt: bool, is_explained: bool, free: float) -> float:
+    """Return how much more likely an answer is if the server stops what is cut off.
+
+    `free` is the probability of a free slot if it goes on, in which case the expectation of the
+    result is at most 1.
+    """
+    if not is_prompt:
+        return (1 - PROMPT_PROBABILITY) / max(ESTIMATE_MARGIN, 1 - free - ESTIMATE_MARGIN)
+    return EXPLAINED_RATIO if is_explained else PROMPT_PROBABILITY / (free + ESTIMATE_MARGIN)
 
 
-def record_check(state: AdmissionState, check: SlotCheck, now: float) -> Outcome:
-    """Record that a check was answered now, and return what it has shown."""
+def record_check(state: AdmissionState, check: SlotCheck, is_answered: bool, now: float) -> Outcome:
+    """Record that a check was answered now, or has failed, and return what it has shown."""
     habits = state.habits
     running = len(check.running & _running(state))
-    if running >= state.slots:
-        habits.is_check_useless = True
-        return Outcome.NO_WAIT
+    is_prompt = is_answered and now <= check.sent_at + CHECK_S
     if len(check.running) >= state.slots:
-        habits.is_check_tried = True
+        if is_answered and running >= state.slots:
+            habits.is_check_useless = True
+            return Outcome.NO_WAIT
+        if is_prompt or not is_answered:
+            return Outcome.NOTHING
+        habits.checks_waited += 1
         return Outcome.WAITED
-    survivals = _survivals(state, check.sent_at, now)
-    free = _free_slot_probability(running, survivals, state.slots)
-    # Its mean is at most 1 for a server that goes on, for which `free` is uniformly distributed.
-    habits.evidence = max(1.0, habits.evidence * 0.5 / math.sqrt(max(free, 1e-6)))
+    is_explained = running < len(check.running)
+    habits.evidence *= _likelihood_ratio(is_prompt, is_explained, check.free_probability)
+    # Lets a server that stops the work be recognised after some checks that were slow.
+    habits.evidence = max(1 / MIN_EVIDENCE, habits.evidence)
     if habits.evidence < MIN_EVIDENCE:
         return Outcome.WEIGHED
     habits.stops_on_close = True
--- a/hornbeamgw/core/slots.py
+++ b/hornbeamgw/core/slots.py
@@ -230,8 +230,10 @@
     evidence : float
         How much more likely the health checks that were answered are if the server stops the work
         than if it goes on.
-    is_check_tried, is_check_useless : bool
-        Whether a health check has been seen to wait for a slot, and not to wait for one.
+    checks_waited : int
+        Number of health checks that were seen to wait for a slot.
+    is_check_useless : bool
+        Whether a health check has been seen not to wait for one.
     next_check_at : float
         Earliest time (s) of the next health check.
     alive_at : float
@@ -243,7 +245,8 @@
         self.stops_on_close = False
         self.has_cut_any = False
         self.evidence = 1.0
-        self.is_check_tried = self.is_check_useless = False
+        self.checks_waited = 0
+        self.is_check_useless = False
         self.next_check_at = -math.inf
         self.alive_at = -math.inf
 
--- a/hornbeamgw/daemon/abandoned.py
+++ b/hornbeamgw/daemon/abandoned.py
@@ -53,8 +53,18 @@
 class AbandonedRequests:
     """The requests at one backend server whose answers nobody waits for any longer."""
 
-    def __init__(self, state: AdmissionState, pool: BackendPool, counts: Counter[str]) -> None:
-        """Watch connections of `pool`; the estimates and the server's habits are in `state`."""
+    def __init__(
+        self,
+        state: AdmissionState,
+        pool: BackendPool,
+        counts: Counter[str],
+        on_closed: Callable[[float], None],
+    ) -> None:
+        """Watch connections of `pool`; the estimates and the server's habits are in `state`.
+
+        `on_closed` is called with the time (s) at which the server has closed a connection.
+        """
+        self._on_closed = on_closed
         self._state = state
         self._pool = pool
         self._counts = counts
@@ -96,6 +106,7 @@
                         return "answered"
                     cut = self._state.cuts_by_attempt[attempt] = cut._replace(closed_at=now)
                     self._pool.discard(connection)
+                    self._on_closed(now)
                 times = self._state.service_time_estimates
                 cut = occupancy.with_life(self._state.habits, times, cut)
                 free_at = occupancy.free_at(self._state.habits, times, cut)
@@ -157,22 +168,26 @@
     async def _send(self, check: SlotCheck, health_path: str) -> None:
         self._counts["slot_checks"] += 1
         habits = self._state.habits
+        status = await self._status(health_path)
+        if habits is not self._state.habits:
+            return
+        now = asyncio.get_running_loop().time()
+        outcome = occupancy.record_check(self._state, check, status == HEALTHY_STATUS, now)
+        took_ms = round(1000 * (now - check.sent_at), 1)
+        fields = {"outcome": outcome, "took_ms": took_ms, "evidence": round(habits.evidence, 2)}
+        log.info("check for a free slot ended", extra={"status": status, **fields})
+        if outcome is Outcome.LEARNED:
+            log.info("backend server stops requests whose connection is closed")
+
+    async def _status(self, health_path: str) -> int | None:
+        """Return the status of the answer, None if there is none."""
         client = HttpClient(self._pool.address, CHECK_TIMEOUT_S)
         try:
             answer = await client.request("GET", health_path)
         except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError, ValueError) as error:
             detail = str(error) or type(error).__name__
             log.info("check for a free slot failed", extra={"error": detail})
-            return
+            return None
         finally:
             client.close()
-        if answer.status != HEALTHY_STATUS or habits is not self._state.habits:
-            log.info("check for a free slot shows nothing", extra={"status": answer.status})
-            return
-        now = asyncio.get_running_loop().time()
-        outcome = occupancy.record_check(self._state, check, now)
-        took_ms = round(1000 * (now - check.sent_at), 1)
-        fields = {"outcome": outcome, "took_ms": took_ms, "evidence": round(habits.evidence, 2)}
-        log.info("check for a free slot answered", extra=fields)
-        if outcome is Outcome.LEARNED:
-            log.info("backend server stops requests whose connection is closed")
+        return answer.status
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -117,7 +117,12 @@
             self._on_server_crash,
             self.declarations,
         )
-        self.abandoned = AbandonedRequests(self.state, self.exchange.pool, self.counts)
+        self.abandoned = AbandonedRequests(
+            self.state,
+            self.exchange.pool,
+            self.counts,
+            on_closed=lambda now: self._consider_check(self.state.service, now),
+        )
         self._slot_checker = SlotChecker(self.state, self.exchange.pool, self.counts)
         self.idle = asyncio.Event()
         self.idle.set()
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -40,6 +40,7 @@
 LIMITS = "features/limits.feature"
 RATE_LIMITS = "features/rate_limits.feature"
 ROOM = "features/room.feature"
+HABITS = "features/habits.feature"
 
 
 class Mutant(NamedTuple):
@@ -97,12 +98,37 @@
         "hornbeamgw/core/occupancy.py",
         (
             (
-                "    if running >= state.slots:\n        habits",
-                "    if running >= 1000 * state.slots:\n        habits",
+                "if is_answered and running >= state.slots:",
+                "if is_answered and running >= 1000 * state.slots:",
             ),
         ),
         ROOM,
     ),
+    Mutant(
+        "a health check that fails is no sign of a free slot",
+        "hornbeamgw/core/occupancy.py",
+        (
+            (
+                "    is_explained = running <",
+                "    if not is_answered:\n"
+                "        return Outcome.WEIGHED\n"
+                "    is_explained = running <",
+            ),
+        ),
+        HABITS,
+    ),
+    Mutant(
+        "a health check that waited speaks for a server that goes on",
+        "hornbeamgw/core/occupancy.py",
+        (("    if not is_prompt:", "    if not is_prompt and free > 1:"),),
+        HABITS,
+    ),
+    Mutant(
+        "a few prompt health checks are enough",
+        "hornbeamgw/core/occupancy.py",
+        (("PROMPT_PROBABILITY / (free + ESTIMATE_MARGIN)", "0.5 / math.sqrt(free + 1e-6)"),),
+        HABITS,
+    ),
     Mutant(
         "a server may work on for the former process of its daemon",
         "hornbeamgw/daemon/gate.py",
