--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -37,8 +37,9 @@
 # Longest time after the cut for which a request counts as running at a server without any sign of
 # life.
 MAX_HOLD_S = 10.0
-# Interval between two health checks of a server.
+# Interval between two health checks of a server, and of one that probably goes on.
 CHECK_INTERVAL_S = 0.05
+UNLIKELY_CHECK_INTERVAL_S = 0.5
 # A health check that is answered within this time has not waited for a slot. One is sent only if it
 # could be expected to wait longer, with at least the given probability.
 CHECK_S = 0.01
@@ -208,7 +209,9 @@
 
 def begin_check(state: AdmissionState, now: float) -> SlotCheck:
     """Return a check that is sent now."""
-    state.habits.next_check_at = now + CHECK_INTERVAL_S
+    is_unlikely = state.habits.evidence < 1.0
+    interval = UNLIKELY_CHECK_INTERVAL_S if is_unlikely else CHECK_INTERVAL_S
+    state.habits.next_check_at = now + interval
     running = _running(state)
     free = _free_slot_probability(state, len(running), now + CHECK_S)
     return SlotCheck(now, running, free)
