Let requests with little time left teach no service time

Change: before any answer, a request that was cut off is recorded only if it had more time than the route is expected to take, and its slot is kept for three times the larger one of both. The deadline no longer counts.

The new one in queueing.feature fails without the condition.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -26,6 +26,11 @@
     When the server shows signs of life after 2000 ms
     Then the slot of that request is in use at 2050 ms, and free at 2200 ms
 
+  # Guards against slots that are taken for free since retries had little time left.
+  Scenario: Requests that were cut off soon don't make others seem short
+    Given requests expected to take 100 ms, of which 20 were cut off after 13 ms
+    Then the slot of that request is in use at 250 ms, and free at 310 ms
+
   Scenario: Short work goes before long work that can spare the time
     Given a busy server whose 6 slots hold work of 60 ms that has just begun
     When a report of 240 ms with an objective of 600 ms arrives
--- a/features/steps/habits.py
+++ b/features/steps/habits.py
@@ -106,9 +106,8 @@
             return
         started = state.started_by_attempt[attempt]
         state.habits.has_cut_any = True
-        occupancy.record_cut(state.service_time_estimates, ROUTE, now - started)
-        cut = CutRequest(ROUTE, started, now, started + PLAY_S)
-        state.cuts_by_attempt[attempt] = cut
+        cut = state.cuts_by_attempt[attempt] = CutRequest(ROUTE, started, now, MEAN_S)
+        occupancy.record_cut(state.service_time_estimates, cut)
         self.after(now, CLOSE_S, self.close, attempt)
         if self.drops:
             self.at_work.discard(attempt)
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -83,6 +83,17 @@
     context.cut = CutRequest("work", 0.0, cut_ms / 1000, 1.0)
 
 
+@given(
+    "requests expected to take {typical:d} ms, of which {count:d} were cut off after {cut_ms:d} ms"
+)
+def had_little_time(context, typical, count, cut_ms):
+    context.times, context.habits = ServiceTimes(), ServerHabits()
+    cut_at = cut_ms / 1000
+    context.cut = CutRequest("work", 0.0, cut_at, typical / 1000, closed_at=cut_at)
+    for _ in range(count):
+        occupancy.record_cut(context.times, context.cut)
+
+
 @when("the server shows signs of life after {ms:d} ms")
 def alive(context, ms):
     context.habits.alive_at = ms / 1000
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -253,27 +253,29 @@
     started: float,
     now: float,
     was_processed: bool = True,
-    cut_at: float | None = None,
+    is_cut: bool = False,
 ) -> list[Decision]:
     """Free the slot of a request and return the decisions that follow for queued requests.
 
     The service time is recorded only if the server has processed the request and has not been
-    restarted since the request was started. If the request was cut off at the time `cut_at` (s), it
-    would have taken longer than until then.
+    restarted since the request was started. If it `is_cut`, it ended without an answer after it had
+    been cut off, and would have taken longer than until then.
     """
     request = state.running_by_attempt.pop(attempt)
-    state.cuts_by_attempt.pop(attempt, None)
+    cut = state.cuts_by_attempt.pop(attempt, None)
     is_same_process = state.started_by_attempt.pop(attempt, None) is not None
     state.running_count_by_entry[request.entry] -= 1
     _record_status(state, attempt, AttemptStatus.FINISHED, now)
     if is_same_process and was_processed:
-        elapsed = (now if cut_at is None else cut_at) - started
-        if cut_at is None or elapsed > state.mean_service_time:
+        elapsed = (cut.cut_at if cut is not None and is_cut else now) - started
+        if not is_cut or elapsed > state.mean_service_time:
             state.mean_service_time += SERVICE_TIME_EWMA_WEIGHT * (
                 elapsed - state.mean_service_time
             )
-        record = service_times.record if cut_at is None else occupancy.record_cut
-        record(state.service_time_estimates, request.route, elapsed)
+        if cut is not None and is_cut:
+            occupancy.record_cut(state.service_time_estimates, cut)
+        else:
+            service_times.record(state.service_time_estimates, request.route, elapsed)
     return next_decisions(state, now)
 
 
--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -31,8 +31,8 @@
 LONGEST_DEVIATIONS = 4.0
 # Margin for servers that are slower while they are busy, relative to the mean service time.
 MEAN_MARGIN_FACTOR = 1.25
-# Longest service time at a server of which nothing has been measured, relative to the time until
-# the cut and to the typical service time.
+# Longest service time of a route of which nothing has been measured, relative to the time until the
+# cut and to the typical service time.
 UNMEASURED_FACTOR = 3.0
 # Longest time after the cut for which a request counts as running at a server without any sign of
 # life.
@@ -72,18 +72,11 @@
 
 
 def longest_time(times: ServiceTimes, cut: CutRequest) -> float:
-    """Return the time in seconds that a request may take from its start.
-
-    A server of which nothing has been measured is expected to keep its deadline, and to take at
-    most a multiple of the typical service time, unless that has passed already.
-    """
+    """Return the time in seconds that a request may take from its start."""
     known = times.estimates_by_route.get(cut.route)
     if known is None:
         until_cut = cut.cut_at - cut.started_at
-        until_deadline = cut.deadline - cut.started_at
-        typical = UNMEASURED_FACTOR * cut.typical or until_deadline
-        longest = max(UNMEASURED_FACTOR * until_cut, min(until_deadline, typical))
-        return min(MAX_HOLD_S, longest)
+        return min(MAX_HOLD_S, UNMEASURED_FACTOR * max(until_cut, cut.typical))
     return MEAN_MARGIN_FACTOR * known.mean + LONGEST_DEVIATIONS * known.deviation
 
 
@@ -105,16 +98,18 @@
     return cut
 
 
-def record_cut(times: ServiceTimes, route: str, elapsed: float) -> None:
-    """Update the service time of a route with a request that would take over `elapsed` seconds.
+def record_cut(times: ServiceTimes, cut: CutRequest) -> None:
+    """Update the service time of a route with a request that would have taken longer.
 
-    That teaches nothing unless few requests take so long.
+    That teaches nothing unless few requests, or without a measurement not the typical one, take as
+    long as it had until the cut.
     """
-    known = times.estimates_by_route.get(route)
-    if known is None:
-        times.estimates_by_route[route] = Estimate(elapsed, elapsed)
-    elif elapsed > known.mean + LONGEST_DEVIATIONS * known.deviation:
-        service_times.record(times, route, elapsed)
+    elapsed = cut.cut_at - cut.started_at
+    known = times.estimates_by_route.get(cut.route)
+    if known is not None and elapsed > known.mean + LONGEST_DEVIATIONS * known.deviation:
+        service_times.record(times, cut.route, elapsed)
+    if known is None and elapsed > cut.typical:
+        times.estimates_by_route[cut.route] = Estimate(elapsed, elapsed)
 
 
 class Outcome(enum.StrEnum):
--- a/hornbeamgw/core/slots.py
+++ b/hornbeamgw/core/slots.py
@@ -199,10 +199,8 @@
         Name of its route.
     started_at, cut_at : float
         Times (s) at which it was sent to the server and cut off.
-    deadline : float
-        Time (s) at which the server was told to give up.
     typical : float
-        Service time in seconds that its caller's daemon expects, 0 if unknown.
+        Service time in seconds that is expected of the route without a measurement.
     closed_at : float or None
         Time (s) at which the server closed the connection; None if it is still open.
     alive_at : float or None
@@ -212,8 +210,7 @@
     route: str
     started_at: float
     cut_at: float
-    deadline: float
-    typical: float = 0.0
+    typical: float
     closed_at: float | None = None
     alive_at: float | None = None
 
--- a/hornbeamgw/daemon/gate.py
+++ b/hornbeamgw/daemon/gate.py
@@ -33,6 +33,7 @@
     request_priority,
     settle,
     stop,
+    typical_time,
 )
 from hornbeamgw.daemon.http1 import HttpConnection
 from hornbeamgw.daemon.link import Link
@@ -594,15 +595,13 @@
         `has_expired` is whether its deadline has passed.
         """
         started = attempt.started_at
-        typical = attempt.call.typical_service_ms / 1000
-        cut = CutRequest(attempt.call.route, started, now, attempt.deadline, typical)
+        cut = CutRequest(attempt.call.route, started, now, typical_time(attempt.call))
 
         def on_ended(was_answered: bool) -> None:
             ended_at = asyncio.get_running_loop().time()
-            cut_at = None if was_answered else cut.cut_at
             was_processed = was_answered or has_expired
             decisions = admission.finish(
-                self.state, attempt.id, started, ended_at, was_processed, cut_at
+                self.state, attempt.id, started, ended_at, was_processed, is_cut=not was_answered
             )
             self._apply(decisions)
 
--- a/hornbeamgw/daemon/gate_attempt.py
+++ b/hornbeamgw/daemon/gate_attempt.py
@@ -9,6 +9,7 @@
 
 from hornbeamgw.core.admission import AdmissionState, AttemptId, Request
 from hornbeamgw.core.fingerprint import as_text
+from hornbeamgw.core.service_times import INITIAL_TIME_RATIO
 from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.verdict import Failure, Verdict
 from hornbeamgw.daemon import frames
@@ -120,6 +121,13 @@
     )
 
 
+def typical_time(call: frames.Call) -> float:
+    """Return the service time in seconds that is expected of a call without a measurement here."""
+    if call.typical_service_ms:
+        return call.typical_service_ms / 1000
+    return INITIAL_TIME_RATIO * call.latency_objective_ms / 1000
+
+
 def stop(attempt: GateAttempt) -> None:
     """Cancel the exchange of an attempt with the server, and send no more of its answer."""
     if attempt.task is not None:
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -138,14 +138,15 @@
     Mutant(
         "what was cut off does not make requests seem short",
         "hornbeamgw/core/admission.py",
-        (
-            (
-                "        record = service_times.record if cut_at is None else occupancy.record_cut",
-                "        record = service_times.record",
-            ),
-        ),
+        (("        if cut is not None and is_cut:", "        if False and cut is not None:"),),
         ROOM,
     ),
+    Mutant(
+        "what was cut off soon does not make requests seem short before any was answered",
+        "hornbeamgw/core/occupancy.py",
+        (("    if known is None and elapsed > cut.typical:", "    if known is None:"),),
+        QUEUEING,
+    ),
     Mutant(
         "work that can't end before its deadline is not begun",
         "hornbeamgw/core/queueing.py",
