--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -6,9 +6,9 @@
 slot then counts as used for as long as such a request may take, unless this server is known to stop
 the work on requests whose connection is closed.
 
-That is learned from health checks, which wait for a slot like other requests. If one is answered
-while the requests that run, together with those just cut off, would use all slots, the server has
-probably stopped one of the latter. Health checks that are answered while requests that were not cut
+That is learned from health checks, which wait for a slot like other requests. If one is answered at
+once while the requests that run, together with those just cut off, would use all slots, the server
+has probably stopped one of the latter. Checks that are answered while requests that were not cut
 off use all slots do not wait for a slot, and teach nothing.
 
 A daemon that has just been started knows nothing of the requests of its former process. Daemons
