Wait for the requests that a test on kept connections needs

The scenario demands more than 100 requests, but stopped the daemon after a fixed time: at a load of 13 to 17 fewer had run by then, and it failed though nothing was cut off. Now the daemon is stopped once more than 100 have run, which is stricter, as they have run before the stop.

--- a/features/steps/stopping_overlaps.py
+++ b/features/steps/stopping_overlaps.py
@@ -36,6 +36,7 @@
 LEAVE_AFTER_S = 1.7
 GRACE_S = 6.0
 WIDE = 1000.0
+MIN_RUNS = 100
 HALF_A_HEAD = b"GET /rosters HTTP/1.1\r\nHost: test.exa"
 
 
@@ -486,6 +487,10 @@
     ask_and_then(context, context.daemons[1], act)
 
 
+def runs(context):
+    return sum(backend.runs_by_id.total() for backend in context.fleet.backends)
+
+
 @given("callers of that daemon who keep {count:d} connections and ask without a pause")
 def kept(context, count):
     context.gone = []
@@ -505,6 +510,7 @@
     async def begin():
         context.load = [asyncio.create_task(keep(b"kept-%d" % each)) for each in range(count)]
         await asyncio.sleep(ASKED_BEFORE_S)
+        await wait_for(lambda: runs(context) > MIN_RUNS)
 
     context.closers.append(lambda: rest(context))
     context.runner.run(begin())
@@ -517,10 +523,10 @@
 
 @then("no server has run a request whose connection closed without an answer")
 def none_lost(context):
-    runs = [backend.runs_by_id for backend in context.fleet.backends]
-    lost = [call_id for call_id in context.gone if any(by_id[call_id] for by_id in runs)]
+    ran = [backend.runs_by_id for backend in context.fleet.backends]
+    lost = [call_id for call_id in context.gone if any(by_id[call_id] for by_id in ran)]
     assert not lost, lost
-    assert sum(by_id.total() for by_id in runs) > 100, runs
+    assert runs(context) > MIN_RUNS, ran
 
 
 @given(
