Send few health checks to a server that refuses them

A full server that refuses health checks got one every 50 ms for as long as it was full: 200 in 10 s by the new scenario, now 20. Nothing is learned from them.

--- a/features/habits.feature
+++ b/features/habits.feature
@@ -36,3 +36,9 @@
     Given health checks fail that wait for a slot
     When a server with 2 slots and exponential service times goes on with what is cut off, in 40 plays
     Then it is taken for one that drops in none of them
+
+  # Guards against a stream of health checks at a server that refuses them while it is full.
+  Scenario: A server that refuses health checks while it is full gets few of them
+    Given a full server with 2 slots, of which a request was cut off
+    When each health check that is sent to it in 10 seconds is refused
+    Then at most 21 have been sent
--- a/features/steps/habits.py
+++ b/features/steps/habits.py
@@ -180,3 +180,28 @@
 @then("it is taken for one that drops in none of them")
 def not_taken(context):
     assert not context.learned_at, context.learned_at
+
+
+@given("a full server with {slots:d} slots, of which a request was cut off")
+def full(context, slots):
+    state = context.state = AdmissionState()
+    state.slots, state.server_state = slots, ServerState.SERVING
+    state.habits.has_cut_any = True
+    for number in range(slots):
+        state.running_by_attempt[AttemptId("caller", 1, number)] = None
+
+
+@when("each health check that is sent to it in {seconds:d} seconds is refused")
+def refused(context, seconds):
+    context.checks = 0
+    for tick in range(int(seconds / CLOSE_S)):
+        now = tick * CLOSE_S
+        if occupancy.is_check_due(context.state, now):
+            context.checks += 1
+            check = occupancy.begin_check(context.state, now)
+            occupancy.record_check(context.state, check, False, now)
+
+
+@then("at most {count:d} have been sent")
+def few(context, count):
+    assert context.checks <= count, context.checks
--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -37,9 +37,10 @@
 # Longest time after the cut for which a request counts as running at a server without any sign of
 # life.
 MAX_HOLD_S = 10.0
-# Interval between two health checks of a server, and of one that probably goes on.
+# Interval between two health checks of a server. The long one is for a server that probably goes
+# on, or has failed the last check.
 CHECK_INTERVAL_S = 0.05
-UNLIKELY_CHECK_INTERVAL_S = 0.5
+LONG_CHECK_INTERVAL_S = 0.5
 # A health check that is answered within this time has not waited for a slot. One is sent only if it
 # could be expected to wait longer, with at least the given probability.
 CHECK_S = 0.01
@@ -205,7 +206,7 @@
 def begin_check(state: AdmissionState, now: float) -> SlotCheck:
     """Return a check that is sent now."""
     is_unlikely = state.habits.evidence < 1.0
-    interval = UNLIKELY_CHECK_INTERVAL_S if is_unlikely else CHECK_INTERVAL_S
+    interval = LONG_CHECK_INTERVAL_S if is_unlikely else CHECK_INTERVAL_S
     state.habits.next_check_at = now + interval
     running = _running(state)
     free = _free_slot_probability(state, len(running), now + CHECK_S)
@@ -228,6 +229,8 @@
     habits = state.habits
     running = len(check.running & _running(state))
     is_prompt = is_answered and now <= check.sent_at + CHECK_S
+    if not is_answered:
+        habits.next_check_at = now + LONG_CHECK_INTERVAL_S
     if len(check.running) >= state.slots:
         if is_answered and running >= state.slots:
             habits.is_check_useless = True
