Notice mutants of what is learned from cut requests again

A server whose checks wait for nothing is now told in two ways, so the mutant takes both away. What cut requests teach is played without sockets, through the end of admission, as the live scenario no longer has enough requests in its time to notice.

--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -87,11 +87,17 @@
     "requests expected to take {typical:d} ms, of which {count:d} were cut off after {cut_ms:d} ms"
 )
 def had_little_time(context, typical, count, cut_ms):
-    context.times, context.habits = ServiceTimes(), ServerHabits()
-    cut_at = cut_ms / 1000
-    context.cut = CutRequest("work", 0.0, cut_at, typical / 1000, closed_at=cut_at)
-    for _ in range(count):
-        occupancy.record_cut(context.times, context.cut)
+    idle(context, 4)
+    state, now, cut_at = context.state, context.now, context.now + cut_ms / 1000
+    context.times, context.habits = state.service_time_estimates, state.habits
+    cut = CutRequest("work", now, cut_at, typical / 1000, closed_at=cut_at)
+    for number in range(count):
+        attempt = AttemptId("a", 1, number)
+        request = Request(attempt, "all", HIGH_LIMITS, cut_at, "work")
+        assert isinstance(admission.admit(state, request, simulated.SERVICE, now), Admitted)
+        state.cuts_by_attempt[attempt] = cut
+        admission.finish(state, attempt, now, cut_at, is_cut=True)
+    context.cut = cut._replace(started_at=0.0, cut_at=cut_ms / 1000, closed_at=cut_ms / 1000)
 
 
 @when("the server shows signs of life after {ms:d} ms")
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -101,6 +101,7 @@
                 "if is_answered and running >= state.slots:",
                 "if is_answered and running >= 1000 * state.slots:",
             ),
+            ("        if is_prompt or not is_answered:", "        if not is_answered:"),
         ),
         ROOM,
     ),
@@ -139,7 +140,7 @@
         "what was cut off does not make requests seem short",
         "hornbeamgw/core/admission.py",
         (("        if cut is not None and is_cut:", "        if False and cut is not None:"),),
-        ROOM,
+        QUEUEING,
     ),
     Mutant(
         "what was cut off soon does not make requests seem short before any was answered",
