--- a/hornbeamgw/core/occupancy.py
+++ b/hornbeamgw/core/occupancy.py
@@ -31,8 +31,8 @@
 LONGEST_DEVIATIONS = 4.0
 # Margin for servers that are slower while they are busy, relative to the mean service time.
 MEAN_MARGIN_FACTOR = 1.25
-# Longest service time of a route of which nothing has been measured, relative to the time until the
-# cut and to the typical service time.
+# Longest service time of a route without an estimate, relative to the time until the cut and to the
+# typical service time.
 UNMEASURED_FACTOR = 3.0
 # Longest time after the cut for which a request counts as running at a server without any sign of
 # life.
