Show that stray bytes of an instance make an unsafe request run twice

A daemon accepts an answer without an id as the answer to any request. If it says that the request hasn't run, the daemon sends an unsafe request to a second server, while the first one runs it.

--- a/review/standins.py
+++ b/review/standins.py
@@ -377,7 +377,13 @@
         self.answers: list[Answer] = []
         self.bounds: dict[str, float] = dict(BOUNDS)
 
-    async def start(self, services: list[str], slots: int = 6, work_s: float = 0.03) -> None:
+    async def start(
+        self,
+        services: list[str],
+        slots: int = 6,
+        work_s: float = 0.03,
+        instance_type: type[Instance] = Instance,
+    ) -> None:
         """Start the store, and a machine with an instance for each entry of `services`."""
         self.store_address = await self.store.start(f"{self.prefix}.250:8309")
         for number, service in enumerate(services, 1):
@@ -385,7 +391,7 @@
         for machine in self.machines:
             machine.start(bootstrap=True)
         for machine in self.machines:
-            instance = Instance(self.record, machine, machine.service, slots, work_s)
+            instance = instance_type(self.record, machine, machine.service, slots, work_s)
             await instance.start()
             self.instances.append(instance)
 
