Let the review's cases share how they are played

A case that is stopped before its end also ends the processes that it started, and removes its temporary folder.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins import APP, BOUNDS, CannotRun, Fleet, Instance, Machine, Record  # noqa: E402
+from standins import APP, BOUNDS, CannotRun, Fleet, Instance, Machine, Record, play  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CONTACT_S = BOUNDS["contact_ms"] / 1000
@@ -146,12 +146,12 @@
     return successor
 
 
-async def run(fleet: Fleet, record: Record, networks: list[Network]) -> int:
+async def run(fleet: Fleet, record: Record) -> int:
     """Play the case and return the exit code."""
     await fleet.start(SERVICES, work_s=WORK_S, instance_type=BehindNetwork)
-    for machine in fleet.machines:
-        network = Network(machine.ip)
-        networks.append(network)
+    networks = [Network(machine.ip) for machine in fleet.machines]
+    fleet.on_close += [network.close for network in networks]
+    for network in networks:
         await network.start()
         network.assign(FIRST_PORT)
     fleet.put_config(3, ROUTES, ["entries", "racebook"])
@@ -191,24 +191,5 @@
     return 1 if broken else 0
 
 
-async def main() -> int:
-    """Run the case with a record, and end all that it started."""
-    record = Record(HERE / "record.txt")
-    networks: list[Network] = []
-    try:
-        fleet = Fleet(record)
-        try:
-            return await run(fleet, record, networks)
-        finally:
-            fleet.close()
-            for network in networks:
-                network.close()
-    except CannotRun as error:
-        record.add(f"cannot run: {error}")
-        return 2
-    finally:
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(play(HERE, run))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins import BOUNDS, CannotRun, Fleet, Record  # noqa: E402
+from standins import BOUNDS, CannotRun, Fleet, Record, play  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CONTACT_S = BOUNDS["contact_ms"] / 1000
@@ -119,21 +119,5 @@
     return 1 if late else 0
 
 
-async def main() -> int:
-    """Run the case with a record, and end all that it started."""
-    record = Record(HERE / "record.txt")
-    try:
-        fleet = Fleet(record)
-        try:
-            return await run(fleet, record)
-        finally:
-            fleet.close()
-    except CannotRun as error:
-        record.add(f"cannot run: {error}")
-        return 2
-    finally:
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(play(HERE, run))
--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import asyncio
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -17,6 +18,7 @@
 import time
 import tomllib
 import uuid
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -31,6 +33,7 @@
 READY_TIMEOUT_S = 20.0
 PORT_RANGE = (7620, 7635)
 INBOUND, APP, READY, OUTBOUND, CONTROL, METRICS = 8300, 8301, 8302, 8304, 8306, 9464
+CANNOT_RUN = 2
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_after_s": 2,
@@ -376,6 +379,7 @@
         self.instances: list[Instance] = []
         self.answers: list[Answer] = []
         self.bounds: dict[str, float] = dict(BOUNDS)
+        self.on_close: list[Callable[[], None]] = []
 
     async def start(
         self,
@@ -473,7 +477,10 @@
             machine.kill()
         for instance in self.instances:
             instance.stop()
+        for close in self.on_close:
+            close()
         self.store.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def _free_prefix() -> str:
@@ -489,3 +496,26 @@
             continue
         return prefix
     raise CannotRun("no free loopback addresses")
+
+
+async def _play(folder: Path, run: Callable[[Fleet, Record], Awaitable[int]]) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    record = Record(folder / "record.txt")
+    try:
+        fleet = Fleet(record)
+        try:
+            return await run(fleet, record)
+        finally:
+            fleet.close()
+    except (CannotRun, asyncio.CancelledError) as error:
+        record.add(f"cannot run: {error!r}")
+        return CANNOT_RUN
+    finally:
+        record.close()
+
+
+def play(folder: Path, run: Callable[[Fleet, Record], Awaitable[int]]) -> int:
+    """Run a case with a record in its folder, end all that it started, and return its result."""
+    return asyncio.run(_play(folder, run))
