Let what is accepted for one run of a server end with that run

An instance of one service fell silent, its address went to an instance of another, and requests for the first were run by the second, safe and unsafe ones, and answered as successes.

Cause: `Gate` lived on when its server changed and forgot the former one field by field; the queue was not among the fields, and the expected instance was read when a request was sent, not when it was accepted. So requests that waited, and those for which a connection was being opened, went to whichever server was announced next, or to the address with no expected instance once the server had been removed.

All nine requests that the other service ran had waited 1.4 to 2.3 s (`waited_ms`); the first six started within 2 ms of its announcement. So they had been accepted before it: callers' daemons with old records are ruled out, and so is the check at the server, as the header named the new instance.

Why the fix works: `ServerRun` owns the queue, the connections, the counts and all that is known of one run, and ends with it. The queue is refused as not run; a closed pool gives no connection, also if it was closed while one was being opened, and the request is written in the same step as that is checked. A run is told by its instance, start, service and address. A 421, an outcome or a connection that comes late belongs to the run that it was for. Records of attempts stay common to all runs.

Related paths found and covered: a server that expires, that a 421 says is replaced, that is starting, and one without a name whose service changes; requests that had not been sent were told "may have run" when a later run came.

A step of features/reborn.feature looked for the former run's connections in the gate's pool; it now holds on to that pool, and asserts that the next run has another.

--- a/features/steps/reborn.py
+++ b/features/steps/reborn.py
@@ -114,6 +114,7 @@
         context.gate.on_frame(context.link, call_frame())
         await asyncio.sleep(0.05)
         service_times.record(context.gate.state.service_time_estimates, "r-0", 4.0)
+        context.pool = context.gate.exchange.pool
         context.gate.announce(announcement(context.address, 1000, ServerState.DRAINING))
         assert not context.link.sent, context.link.sent
 
@@ -161,7 +162,8 @@
 
 @then("the gate has no connection to a server")
 def no_connection(context):
-    pool = context.gate.exchange.pool
+    pool = context.pool
+    assert pool is not context.gate.exchange.pool
     assert pool.opened_count and not pool._open, (pool.opened_count, pool._open)
 
 
--- a/hornbeamgw/core/admission.py
+++ b/hornbeamgw/core/admission.py
@@ -19,23 +19,17 @@
     service_times,
 )
 from hornbeamgw.core.membership import ServerState
-from hornbeamgw.core.service_times import ServiceTimes
 from hornbeamgw.core.slots import (
-    INITIAL_SERVICE_TIME_S,
     AdmissionState,
     Admitted,
     AttemptId,
     AttemptRecord,
     AttemptStatus,
     Decision,
-    FairnessState,
-    FormerWork,
     Outlook,
     Queued,
-    RateLimitState,
     Refused,
     Request,
-    ServerHabits,
 )
 from hornbeamgw.core.verdict import Reason, Verdict, may_have_run, not_run
 
@@ -49,11 +43,11 @@
     "Refused",
     "Request",
     "admit",
+    "close",
     "drain",
     "expected_service_time",
     "expected_wait",
     "finish",
-    "forget_run",
     "free_slots",
     "next_decisions",
     "outlook",
@@ -249,6 +243,8 @@
     over_limit = rate_limit.excess(state.rate_limit, state.queue, now)
     state.queue = [r for r in state.queue if r not in over_limit]
     decisions += [_refuse(state, request, Reason.RATE_LIMITED, now) for request in over_limit]
+    if state.server_state is not ServerState.SERVING:
+        return decisions
     for request in state.policy.order(state, now):
         if _has_slot(state, request, now):
             state.queue.remove(request)
@@ -266,16 +262,15 @@
 ) -> list[Decision]:
     """Free the slot of a request and return the decisions that follow for queued requests.
 
-    The service time is recorded only if the server has processed the request and has not been
-    restarted since the request was started. If it `is_cut`, it ended without an answer after it had
-    been cut off, and would have taken longer than until then.
+    The service time is recorded only if the server has processed the request. If it `is_cut`, it
+    ended without an answer after it had been cut off, and would have taken longer than until then.
     """
     request = state.running_by_attempt.pop(attempt)
     cut = state.cuts_by_attempt.pop(attempt, None)
-    is_same_process = state.started_by_attempt.pop(attempt, None) is not None
+    del state.started_by_attempt[attempt]
     state.running_count_by_entry[request.entry] -= 1
     _record_status(state, attempt, AttemptStatus.FINISHED, now)
-    if is_same_process and was_processed:
+    if was_processed:
         elapsed = (cut.cut_at if cut is not None and is_cut else now) - started
         if not is_cut or elapsed > state.mean_service_time:
             state.mean_service_time += SERVICE_TIME_EWMA_WEIGHT * (
@@ -298,26 +293,18 @@
     return found
 
 
+def close(
+    state: AdmissionState, server_state: ServerState, reason: Reason, now: float
+) -> list[Decision]:
+    """Stop admitting requests, as the server drains or is gone, and refuse all queued ones."""
+    state.server_state = server_state
+    waiting, state.queue = state.queue, []
+    return [_refuse(state, request, reason, now) for request in waiting]
+
+
 def drain(state: AdmissionState, now: float) -> list[Decision]:
     """Stop admitting requests and refuse all queued ones."""
-    state.server_state = ServerState.DRAINING
-    waiting, state.queue = state.queue, []
-    return [_refuse(state, request, Reason.DRAINING, now) for request in waiting]
-
-
-def forget_run(state: AdmissionState) -> None:
-    """Discard what is known of the backend server's previous process, such as service times."""
-    state.service_time_estimates = ServiceTimes()
-    state.slacks_by_route.clear()
-    state.slot_use_by_route.clear()
-    state.timely_use = None
-    state.fairness = FairnessState(state.fairness.weights_by_organisation)
-    state.started_by_attempt.clear()
-    state.mean_service_time = INITIAL_SERVICE_TIME_S
-    state.rate_limit = RateLimitState()
-    state.habits = ServerHabits()
-    state.former_work_until = -math.inf
-    state.former_work = FormerWork()
+    return close(state, ServerState.DRAINING, Reason.DRAINING, now)
 
 
 def resolve(state: AdmissionState, attempt: AttemptId, age: float, now: float) -> Verdict:
--- a/hornbeamgw/core/registration.py
+++ b/hornbeamgw/core/registration.py
@@ -77,6 +77,15 @@
     return (before.instance, before.started_ms) == (after.instance, after.started_ms)
 
 
+def is_same_server(before: Announcement, after: Announcement) -> bool:
+    """Return whether what was accepted for one announcement may be sent to the server of the other.
+
+    A server without an instance name is told from the next one by its service and address.
+    """
+    is_moved = (before.service, before.address) != (after.service, after.address)
+    return is_same_run(before, after) and not is_moved
+
+
 def is_renewal(before: Announcement, after: Announcement) -> bool:
     """Return whether two announcements differ at most in expiry and warm-up time."""
     return before == after._replace(expires_at=before.expires_at, warm_at=before.warm_at)
--- a/hornbeamgw/core/slots.py
+++ b/hornbeamgw/core/slots.py
@@ -327,10 +327,14 @@
 
 
 class AdmissionState:
-    """State that a backend server has announced, and its running and queued requests.
+    """State that one run of a backend server has announced, and its running and queued requests.
 
     Attributes
     ----------
+    service : str
+        Service of the server, which does not change.
+    records_by_attempt : OrderedDict
+        Records of attempts, also of those at former runs.
     reserved_by_entry : mapping
         Number of slots reserved for each catalogue entry (an owner's traffic class and its limits).
     mean_service_time : float
@@ -359,15 +363,24 @@
         What health checks have shown of those requests.
     """
 
-    def __init__(self, policy: str = "deadline") -> None:
-        """Start without a backend server; `policy` names the queue policy."""
+    def __init__(
+        self,
+        policy: str = "deadline",
+        records_by_attempt: OrderedDict[AttemptId, AttemptRecord] | None = None,
+    ) -> None:
+        """Start without a backend server.
+
+        `policy` names the queue policy. `records_by_attempt` may be shared with other runs.
+        """
         self.service = ""
         self.slots = 0
         self.server_state = ServerState.NONE
         self.running_by_attempt: dict[AttemptId, Request] = {}
         self.running_count_by_entry: dict[str, int] = {}
         self.queue: list[Request] = []
-        self.records_by_attempt: OrderedDict[AttemptId, AttemptRecord] = OrderedDict()
+        self.records_by_attempt: OrderedDict[AttemptId, AttemptRecord] = (
+            OrderedDict() if records_by_attempt is None else records_by_attempt
+        )
         self.reserved_by_entry: Mapping[str, int] = {}
         self.mean_service_time = INITIAL_SERVICE_TIME_S
         self.service_time_estimates = ServiceTimes()
--- a/hornbeamgw/daemon/backend_pool.py
+++ b/hornbeamgw/daemon/backend_pool.py
@@ -24,11 +24,16 @@
     """Raised when all connections that the backend server allows are in use."""
 
 
+class PoolClosed(ConnectionError):
+    """Raised when the backend server was removed, so that nothing may be sent to it."""
+
+
 class BackendPool:
     """Connections to one backend server, limited to the number that the server announced."""
 
     def __init__(self) -> None:
-        """Create an empty pool; `configure` sets the address."""
+        """Create a closed pool."""
+        self.is_open = False
         self.address = ""
         self.connections = 0
         self.opened_count = 0
@@ -38,19 +43,30 @@
         self._unused: set[HttpConnection] = set()
         self._max_idle_by_connection: dict[HttpConnection, float] = {}
 
-    def configure(self, address: str, connections: int) -> None:
-        """Set the address of the server and the maximum number of connections."""
-        if address != self.address:
-            self.close_idle()
+    def open(self, address: str, connections: int) -> None:
+        """Allow connections to the server at an address, up to a maximum number."""
+        self.is_open = True
         self.address = address
         self.connections = connections
 
+    def close(self) -> None:
+        """Allow no more requests to be sent; connections in use are closed after their answers."""
+        self.is_open = False
+        for connection, _ in self._idle:
+            self._forget(connection)
+            connection.close()
+        self._idle.clear()
+
     async def acquire(self, idempotent: bool) -> HttpConnection:
         """Return an idle or new connection; raise OSError or TimeoutError if there is none.
 
+        Raises PoolClosed if the pool is closed, or was closed while the connection was opened.
+
         A non-idempotent request is not sent on a connection that has been idle for long: if the
         server is closing it, the daemon can't know whether the request ran.
         """
+        if not self.is_open:
+            raise PoolClosed("the backend server was removed")
         now = asyncio.get_running_loop().time()
         max_idle = IDLE_MAX_S if idempotent else IDLE_MAX_NON_IDEMPOTENT_S
         while self._idle:
@@ -66,6 +82,9 @@
             raise PoolFull(f"all {self.connections} connections are in use")
         async with asyncio.timeout(DIAL_TIMEOUT_S):
             connection = await dial(self.address)
+        if not self.is_open:
+            connection.abort()
+            raise PoolClosed("the backend server was removed")
         self.opened_count += 1
         self._open.add(connection)
         return connection
@@ -82,7 +101,7 @@
 
     async def is_refused(self) -> bool:
         """Return whether connections are refused; if not, add the opened one to the pool."""
-        if len(self._open) >= self.connections:
+        if not self.is_open or len(self._open) >= self.connections:
             return False
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
@@ -91,6 +110,9 @@
             return True
         except (OSError, TimeoutError):
             return False
+        if not self.is_open:
+            connection.abort()
+            return False
         self.opened_count += 1
         self._open.add(connection)
         self._unused.add(connection)
@@ -112,7 +134,7 @@
         """Return a connection to the pool, or close it if its exchange is incomplete."""
         http = connection.http
         is_complete = http.our_state is h11.DONE and http.their_state is h11.DONE
-        if is_complete and not connection.lost and not connection.has_input():
+        if self.is_open and is_complete and not connection.lost and not connection.has_input():
             http.start_next_cycle()
             self._idle.append((connection, asyncio.get_running_loop().time()))
         else:
@@ -137,10 +159,3 @@
         self._reused.discard(connection)
         self._unused.discard(connection)
         self._max_idle_by_connection.pop(connection, None)
-
-    def close_idle(self) -> None:
-        """Close all idle connections."""
-        for connection, _ in self._idle:
-            self._forget(connection)
-            connection.close()
-        self._idle.clear()
--- a/hornbeamgw/daemon/gate_attempt.py
+++ b/hornbeamgw/daemon/gate_attempt.py
@@ -83,6 +83,11 @@
         return self._progress if self.outgoing is None else self.outgoing.progress
 
 
+def has_reached_server(attempt: GateAttempt) -> bool:
+    """Return whether the server may work on an attempt, or has answered it."""
+    return attempt.is_answer_due or attempt.answered_at > 0
+
+
 def settle(attempt: GateAttempt) -> None:
     """Stop counting the expected answer, since it has arrived or won't arrive."""
     if attempt.promise is not None:
--- a/hornbeamgw/daemon/gates.py
+++ b/hornbeamgw/daemon/gates.py
@@ -60,7 +60,7 @@
 
     def _open(self) -> Gate:
         gate = self._open_gate()
-        gate.exchange.on_replaced = lambda instance: self.on_replaced(instance)
+        gate.on_replaced = lambda instance: self.on_replaced(instance)
         gate.on_leaving = lambda instance: self.on_leaving(instance)
         return gate
 
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -27,7 +27,7 @@
 from hornbeamgw.core.transfers import TransferState
 from hornbeamgw.core.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from hornbeamgw.daemon import frames, heads, server_answer
-from hornbeamgw.daemon.backend_pool import BackendPool, PoolFull
+from hornbeamgw.daemon.backend_pool import BackendPool, PoolClosed, PoolFull
 from hornbeamgw.daemon.declarations import ServerDeclarations
 from hornbeamgw.daemon.end_watch import CrashDetector
 from hornbeamgw.daemon.flow import WINDOW_BYTES, Pacer, Promise
@@ -62,34 +62,31 @@
         counts: Counter[str],
         on_stalled: Callable[[GateAttempt], None],
         on_crash: Callable[[Sequence[int]], None],
+        on_replaced: Callable[[str], None],
         declarations: ServerDeclarations,
+        transfers_state: TransferState,
     ) -> None:
-        """Create an exchange without a backend server.
+        """Create an exchange with one run of a backend server, which is not announced yet.
 
         Answers report the load in `state`. `on_stalled` is called with an attempt whose answer is
         not sent completely in time. `on_crash` is called if the backend server crashes, with the
-        fingerprints of the requests that were running at that moment. Answers of the current run
-        are read by `declarations`.
+        fingerprints of the requests that were running at that moment. `on_replaced` is called with
+        the instance to which a request was sent that another one has refused. Answers are read by
+        `declarations`; sizes of answers are kept in `transfers_state`.
         """
         self.pool = BackendPool()
         self.crash_detector = CrashDetector(self.pool, on_crash)
         self.breaker = BreakerState()
         self.instance = ""
         self.is_daemon_stopping = False
-        self.on_replaced: Callable[[str], None] = lambda instance: None
         self._state = state
         self._dialect = dialect
         self._pacer = pacer
         self._counts = counts
         self._on_stalled = on_stalled
+        self._on_replaced = on_replaced
         self._declarations = declarations
-        self._transfers = TransferState()
-
-    def forget_run(self) -> None:
-        """Discard the connections to the previous server process, and the circuit breaker state."""
-        self.pool.close_idle()
-        self.breaker = BreakerState()
-        self.crash_detector.note_sound()
+        self._transfers = transfers_state
 
     def transfer_time(self, link: Link, route: str, left: TimeLeft) -> float:
         """Return the expected time from the end of the service until an answer is sent (s).
@@ -150,7 +147,7 @@
         try:
             connection = await self.pool.acquire(call.idempotent)
         except (OSError, TimeoutError) as error:
-            if not isinstance(error, PoolFull):
+            if not isinstance(error, PoolFull | PoolClosed):
                 self._record_loss(attempt)
             detail = str(error) or type(error).__name__
             return not_run(Reason.BACKEND_UNREACHABLE, detail, RETRY_AFTER_UNREACHABLE_MS)
@@ -207,9 +204,9 @@
     def _note_declaration(
         self, attempt: GateAttempt, answer: AnswerHead, failure: Failure | None
     ) -> None:
-        """Read what a valid answer declares, unless the request was sent to a former run."""
+        """Read what a valid answer declares."""
         is_valid = failure is None or failure.verdict is Verdict.NOT_RUN
-        if is_valid and attempt.id in self._state.started_by_attempt:
+        if is_valid:
             now = asyncio.get_running_loop().time()
             self._declarations.note_answer(answer, failure is None, attempt.started_at, now)
 
@@ -230,7 +227,7 @@
         failure = server_answer.failure_of(self._dialect, answer, call_id)
         is_replaced = answer.status == self._dialect.other_instance_status
         if failure is not None and is_replaced and self.instance:
-            self.on_replaced(self.instance)
+            self._on_replaced(self.instance)
         else:
             self._note_declaration(attempt, answer, failure)
         body, end = server_answer.read_available(connection)
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -44,6 +44,7 @@
 PIPELINING = "features/pipelining.feature"
 ORGANISATIONS = "features/organisations.feature"
 FORMER_WORK = "features/former_work.feature"
+SERVER_RUNS = "features/server_runs.feature"
 
 
 class Mutant(NamedTuple):
@@ -154,15 +155,15 @@
         "hornbeamgw/daemon/server_exchange.py",
         (
             (
-                "        if is_valid and attempt.id in self._state",
-                "        if False and self._state",
+                "        if is_valid:\n            now",
+                "        if False:\n            now",
             ),
         ),
         LIMITS,
     ),
     Mutant(
         "a request that was cut off keeps its slot",
-        "hornbeamgw/daemon/gate.py",
+        "hornbeamgw/daemon/server_run.py",
         (
             (
                 "            self._abandon(attempt, attempt.abandoned, was_processed, now)",
@@ -396,7 +397,7 @@
     ),
     Mutant(
         "a server that leaves stays out, whatever its heartbeats say",
-        "hornbeamgw/daemon/gate.py",
+        "hornbeamgw/daemon/server_run.py",
         (("        draining |= self.declarations.is_leaving\n", ""),),
         RATE_LIMITS,
     ),
@@ -415,7 +416,7 @@
     Mutant(
         "a daemon beside a server accepts only what its link can send in a stop",
         "hornbeamgw/daemon/gate.py",
-        (("        refusal = refusal or self._backlog_refusal(link, call.route)\n", ""),),
+        (("        refusal = refusal or self._backlog_refusal(link, call)\n", ""),),
         STOPPING,
     ),
     Mutant(
@@ -550,7 +551,7 @@
         "hornbeamgw/daemon/gate.py",
         (
             (
-                "        if not call.idempotent and self._is_closed_by_rollout():",
+                "        if not call.idempotent and run.is_closed_by_rollout():",
                 "        if False:",
             ),
         ),
@@ -639,6 +640,62 @@
         (("if now - state.received_at < LATE_HEARTBEAT_WINDOW_S:", "if False:"),),
         REBORN,
     ),
+    Mutant(
+        "what waits for a run of a server ends with it",
+        "hornbeamgw/daemon/gate.py",
+        (
+            (
+                "        if last is not None and not is_same_server(",
+                "        if False and not is_same(",
+            ),
+        ),
+        SERVER_RUNS,
+    ),
+    Mutant(
+        "what waits for a server that is removed is refused",
+        "hornbeamgw/core/admission.py",
+        (("    waiting, state.queue = state.queue, []\n", "    waiting: list[Request] = []\n"),),
+        SERVER_RUNS,
+    ),
+    Mutant(
+        "nothing is sent to a server that was removed while a connection was opened",
+        "hornbeamgw/daemon/backend_pool.py",
+        (
+            (
+                "        if not self.is_open:\n            connection.abort()\n            raise",
+                "        if False:\n            connection.abort()\n            raise",
+            ),
+        ),
+        SERVER_RUNS,
+    ),
+    Mutant(
+        "no connection to a run is used for the next one",
+        "hornbeamgw/daemon/backend_pool.py",
+        (("        if self.is_open and is_complete and", "        if is_complete and"),),
+        SERVER_RUNS,
+    ),
+    Mutant(
+        "a run is told by its service, too",
+        "hornbeamgw/core/registration.py",
+        (
+            (
+                "    return is_same_run(before, after) and not is_moved",
+                "    return is_same_run(before, after)",
+            ),
+        ),
+        SERVER_RUNS,
+    ),
+    Mutant(
+        "a refusal as another instance says nothing of a later run",
+        "hornbeamgw/daemon/server_run.py",
+        (
+            (
+                "        if not self._is_superseded:\n            self._context.on_r",
+                "        if True:\n            self._context.on_r",
+            ),
+        ),
+        SERVER_RUNS,
+    ),
     Mutant(
         "after a restart only the very same server is taken up",
         "hornbeamgw/daemon/adoption.py",
@@ -852,8 +909,8 @@
         "hornbeamgw/daemon/gate.py",
         (
             (
-                " or self._identify_again(attempt)\n        if refusal is not None:\n",
-                "\n        if refusal is not None:\n",
+                "return self.quarantine.refusal(attempt.call.fingerprint) or self._identify_again(",
+                "return self.quarantine.refusal(attempt.call.fingerprint) or (lambda _: None)(",
             ),
         ),
         ORGANISATIONS,
