Let an acknowledged departure bind the daemon's next process

Requests reached an instance 5.8 to 8.4 s after the daemon beside it had acknowledged its DELETE; those that ran there as it exited ended with 502. The daemon had been restarted since and had heard a heartbeat that the network had held up.

Cause: which runs have left was in the memory of the process alone. The row in the store held the servers that serve, and nobody else was told, so the next process took any heartbeat of the instance for the first one.

Why the fix works: a departure is in the daemon's row and with up to three other daemons (keepers), and it is acknowledged once the store or all keepers but one have confirmed; else the answer is 503, and the server gets nothing all the same. A start reads the row and hears as many keepers as include one that has confirmed. Until then a `ready` heartbeat that may be from before the start counts only if a health check is answered by that instance as one that serves. A later `born` is taken at once.

Related paths, each with a scenario: SIGTERM and SIGKILL; `draining` as well as DELETE; answers that say that the server leaves; the store away for all, for this daemon, before, during and after the restart; lost and late answers of the store (rows are now written by revision, so a late write can't undo a later one); keepers that were restarted; departures during adoption's check, and without `born` after it; rows that were swept while their daemon was away; a row that was written early without its servers.

`ServerRegistry.adopt` takes the health paths from its constructor, and `RowStore.write` returns a revision, so the steps that stand in for them do, too; nothing else changed in them.

The whole suite has not been run on this yet.

--- a/features/outside.feature
+++ b/features/outside.feature
@@ -144,4 +144,6 @@
     When the row of each of them is in the store after 3 seconds
     And one of them ends without a word and the others notice
     And one of the others sweeps
+    Then the rows of all of them are left
+    When one of the others sweeps
     Then the rows of the others are left
--- a/features/steps/adoption.py
+++ b/features/steps/adoption.py
@@ -86,7 +86,9 @@
     context.gate = Gate(lambda: EMPTY_SNAPSHOT, lambda: None, former_process=former)
     spare = iter([context.gate])
     context.gates = Gates(lambda: next(spare, None) or Gate(lambda: EMPTY_SNAPSHOT, lambda: None))
-    context.taker = ServerRegistry(context.gates, None, 10, 6.0, adoption=adoption)
+    context.taker = ServerRegistry(
+        context.gates, None, 10, 6.0, adoption=adoption, health_path_of=HEALTH.get
+    )
     context.writing = asyncio.create_task(row.run())
     try:
         page = await context.rows.read(TABLE, KEY)
@@ -251,7 +253,7 @@
     async def again():
         context.writing.cancel()
         await begin(context)
-        adopting = asyncio.create_task(context.taker.adopt(HEALTH.get))
+        adopting = asyncio.create_task(context.taker.adopt())
         await asyncio.wait([adopting], timeout=ADOPTED_WITHIN_S)
         adopting.cancel()
 
--- a/features/steps/containment.py
+++ b/features/steps/containment.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 
 from hornbeamgw.backends.base import PlatformError
+from hornbeamgw.backends.rows import RowPage, StoredRow
 from hornbeamgw.core import balancing, breaker, node, slots
 from hornbeamgw.core.balancing import Load
 from hornbeamgw.core.breaker import BreakerState
@@ -350,13 +351,18 @@
         """Take the number of writes that fail."""
         self.failures, self.value = failures, None
 
+    async def read(self, table, key=""):
+        """Return the row."""
+        row = StoredRow(key, self.value, 1)
+        return RowPage([] if self.value is None else [row], 1, 0.0)
+
     async def write(self, table, key, value, expected=None):
         """Fail, or keep the row."""
         if self.failures:
             self.failures -= 1
             raise PlatformError("away")
         self.value = value
-        return True
+        return 1
 
 
 @given(
--- a/features/steps/findings.py
+++ b/features/steps/findings.py
@@ -184,9 +184,14 @@
         """Start without a row."""
         self.row = None
 
+    async def read(self, table, key=""):
+        """Return the row."""
+        return RowPage([] if self.row is None else [self.row], 1, 0.0)
+
     async def write(self, table, key, value, state=None):
         """Keep the row."""
         self.row = StoredRow(key, value, 1)
+        return 1
 
 
 @when("its row is written, and every daemon starts anew")
--- a/features/steps/outside.py
+++ b/features/steps/outside.py
@@ -417,6 +417,13 @@
     context.runner.run(context.living[0].reader.directory._sweep())
 
 
+@then("the rows of all of them are left")
+def all_left(context):
+    keys = {key for table, key in context.store.rows_by_table_and_key if table == TABLE}
+    living = {daemon.control.view.me.address for daemon in context.living}
+    assert keys == living | {context.gone}, keys
+
+
 @then("the rows of the others are left")
 def left(context):
     keys = {key for table, key in context.store.rows_by_table_and_key if table == TABLE}
--- a/features/steps/servers.py
+++ b/features/steps/servers.py
@@ -82,7 +82,12 @@
     context.view = membership.MembershipState(ME, membership.Timing())
     context.gates = Gates(lambda: Gate(lambda: EMPTY_SNAPSHOT, lambda: on_change(context)))
     context.taker = ServerRegistry(
-        context.gates, None, 10, 6.0, adoption=Adoption(row, Dialect(instance=b"x-instance-id"))
+        context.gates,
+        None,
+        10,
+        6.0,
+        adoption=Adoption(row, Dialect(instance=b"x-instance-id")),
+        health_path_of={"roster": "/healthz"}.get,
     )
     context.row = row
     context.writing = asyncio.create_task(row.run())
@@ -164,7 +169,7 @@
         context.writing.cancel()
         begin_daemon(context)
         context.row.found((await context.rows.read(TABLE, KEY)).rows[0])
-        await context.taker.adopt({"roster": "/healthz"}.get)
+        await context.taker.adopt()
 
     context.runner.run(again())
 
--- a/hornbeamgw/backends/rows.py
+++ b/hornbeamgw/backends/rows.py
@@ -49,9 +49,9 @@
 
     async def write(
         self, table: str, key: str, value: bytes | None, expected_revision: int | None = None
-    ) -> bool:
-        """Write a row, or delete it if the value is None; return whether the write was applied.
+    ) -> int:
+        """Write a row, or delete it if the value is None; return the store's revision after it.
 
-        With an `expected_revision` (0 for a row that does not exist) the write is applied only if
-        the row is at that revision.
+        The result is 0 if the write was not applied. With an `expected_revision` (0 for a row that
+        does not exist) the write is applied only if the row is at that revision.
         """
--- a/hornbeamgw/core/registration.py
+++ b/hornbeamgw/core/registration.py
@@ -14,6 +14,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from hornbeamgw.core.departures import LeftRun
 from hornbeamgw.core.membership import ServerState
 
 MAX_INSTANCES = 256
@@ -158,11 +159,54 @@
     return True
 
 
-def adopt(state: RegistrationState, heartbeat: Heartbeat, now: float) -> None:
-    """Register a server that was already running when this daemon started."""
+def adopt(state: RegistrationState, heartbeat: Heartbeat, now: float) -> bool:
+    """Register a server that was already running when this daemon started.
+
+    Return False if it has left or drains, according to a later message.
+    """
+    known = _latest_run(state, heartbeat.instance, heartbeat.started_ms)
+    if known.started_ms > heartbeat.started_ms or known.is_draining or known.is_gone:
+        return False
+    _store_run(state, heartbeat.instance, known)
     state.current = heartbeat
     state.received_at = now
     state.latest_started_ms = heartbeat.started_ms
+    return True
+
+
+def may_have_left_before(known_runs: KnownRunsByInstance, heartbeat: Heartbeat) -> bool:
+    """Return whether nothing that was heard tells a heartbeat from a late one of a run that left.
+
+    That is so if no run of the instance is known, or one of unknown start has left.
+    """
+    known = known_runs.get(heartbeat.instance)
+    if known is None:
+        return True
+    is_ambiguous = not known.started_ms and heartbeat.started_ms > 0
+    return is_ambiguous and (known.is_gone or known.is_draining)
+
+
+def left_run(known_runs: KnownRunsByInstance, message: Heartbeat | Departure) -> LeftRun | None:
+    """Return the run of which a message says that it leaves, None if it does not.
+
+    A message that doesn't give the start of the run is about the latest known one.
+    """
+    is_gone = isinstance(message, Departure)
+    if isinstance(message, Heartbeat) and message.state is not ServerState.DRAINING:
+        return None
+    known = known_runs.get(message.instance, UNKNOWN_RUN)
+    return LeftRun(message.instance, message.started_ms or known.started_ms, is_gone)
+
+
+def note_left(state: RegistrationState, run: LeftRun) -> bool:
+    """Record that a run has left or drains, and return whether it is the registered run."""
+    known = state.known_runs_by_instance.get(run.instance, UNKNOWN_RUN)
+    if run.started_ms < known.started_ms:
+        return False
+    known = _latest_run(state, run.instance, run.started_ms)
+    is_gone = known.is_gone or run.is_gone
+    _store_run(state, run.instance, known._replace(is_draining=True, is_gone=is_gone))
+    return state.current is not None and state.current.instance == run.instance
 
 
 def drain(state: RegistrationState, instance: str) -> bool:
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -10,10 +10,12 @@
 import h11
 
 from hornbeamgw.core import registration
+from hornbeamgw.core.departures import LeftRun
 from hornbeamgw.core.membership import ServerState
 from hornbeamgw.core.options import is_address, split_address
 from hornbeamgw.core.registration import Departure, Heartbeat, RegistrationState
 from hornbeamgw.daemon.adoption import Adoption
+from hornbeamgw.daemon.departures import Ledger
 from hornbeamgw.daemon.gate import Announcement
 from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.http1 import HttpConnection
@@ -22,6 +24,8 @@
 log = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024
+# Servers send a heartbeat about this often.
+VERIFICATION_TIMEOUT_S = 1.5
 
 Decoder = Callable[[str, str, bytes], Heartbeat | Departure]
 decoders_by_name: dict[str, Decoder] = {}
@@ -51,14 +55,26 @@
         ttl: float,
         accepts_service: Callable[[str], bool] = lambda service: True,
         adoption: Adoption | None = None,
+        ledger: Ledger | None = None,
+        started_ms: int = 0,
+        health_path_of: Callable[[str], str | None] = lambda service: None,
     ) -> None:
         """Create an empty registry.
 
         Registrations are passed to `gates` and expire after `ttl` seconds. `connections` is the
         connection limit of each server. Announcements are decoded by `decode`, and refused for
-        services that `accepts_service` rejects. `adoption` restores servers after a restart.
+        services that `accepts_service` rejects. `adoption` restores servers after a restart, and
+        `ledger` keeps departures across one; without it, they end with the process. `started_ms`
+        is the start of this process in Unix milliseconds. `health_path_of` returns the path of a
+        service's health check, empty if it has none, and None for an unknown service.
         """
         self._adoption = adoption
+        self._ledger = ledger
+        self._started_ms = started_ms
+        self._health_path_of = health_path_of
+        self._verifications_by_instance: dict[str, asyncio.Task[None]] = {}
+        if ledger is not None:
+            ledger.on_recalled = self._on_recalled
         self._accepts_service = accepts_service
         self.states_by_address: dict[str, RegistrationState] = {}
         self._known_runs_by_instance: registration.KnownRunsByInstance = OrderedDict()
@@ -80,8 +96,20 @@
             log.warning("announcement refused", extra={"error": str(error)})
             json_response(connection, 400, {"error": f"announcement: {error}"})
             return
+        if not await self._may_acknowledge(message):
+            error_text = "departure not acknowledged: nobody else has confirmed it, send it again"
+            json_response(connection, 503, {"error": error_text})
+            return
         send_response(connection, 200, [], b"")
 
+    async def _may_acknowledge(self, message: Heartbeat | Departure) -> bool:
+        """Return whether what an acknowledgement promises would outlive this process."""
+        run = registration.left_run(self._known_runs_by_instance, message)
+        if run is None or self._ledger is None:
+            return True
+        self._ledger.note(run)
+        return await self._ledger.confirm(run)
+
     def _process(self, message: Heartbeat | Departure) -> None:
         if isinstance(message, Departure):
             self._on_departure(message)
@@ -116,6 +144,74 @@
         return state is not None and state.current is not None
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        if self._must_verify(heartbeat):
+            self._verify_soon(heartbeat)
+            return
+        self._accept(heartbeat)
+
+    def _must_verify(self, heartbeat: Heartbeat) -> bool:
+        """Return whether a former process may have acknowledged that the sender leaves."""
+        if self._ledger is None or heartbeat.state is ServerState.DRAINING:
+            return False
+        if not registration.may_have_left_before(self._known_runs_by_instance, heartbeat):
+            return False
+        is_known = heartbeat.instance in self._known_runs_by_instance
+        if self._ledger.is_complete.is_set() and not is_known:
+            return False
+        return not 0 < self._started_ms < heartbeat.started_ms
+
+    def _verify_soon(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.instance in self._verifications_by_instance:
+            return
+        task = asyncio.create_task(self._verify(heartbeat))
+        self._verifications_by_instance[heartbeat.instance] = task
+        task.add_done_callback(lambda _: self._verifications_by_instance.pop(heartbeat.instance))
+
+    async def _verify(self, heartbeat: Heartbeat) -> None:
+        """Accept a heartbeat once it is known that its sender has not left.
+
+        That is known from the ledger, or else from the server itself if it has a health check. If
+        it isn't in time, the next heartbeat is verified.
+        """
+        assert self._ledger is not None
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + VERIFICATION_TIMEOUT_S
+        is_asked = False
+        await self._ledger.wait_heard()
+        while self._must_verify(heartbeat):
+            health_path = self._health_path_of(heartbeat.service)
+            if health_path and self._adoption is not None and not is_asked:
+                is_asked = True
+                announcement = self._announcement(heartbeat, 0.0, 0.0)
+                if await self._adoption.check(announcement, health_path) is not None:
+                    break
+            can_ask = health_path != "" and self._adoption is not None
+            if not can_ask and self._ledger.is_heard.is_set():
+                break
+            if loop.time() >= deadline:
+                log.info(
+                    "heartbeat ignored: the server may have left before this daemon's start",
+                    extra={"instance": heartbeat.instance, "sequence": heartbeat.sequence},
+                )
+                return
+            await self._ledger.wait_complete()
+        try:
+            self._accept(heartbeat)
+        except ValueError as error:
+            log.warning("announcement refused", extra={"error": str(error)})
+
+    def _on_recalled(self, run: LeftRun) -> None:
+        """Apply a departure that a former process of this daemon has acknowledged."""
+        address = self._registered_address(run.instance)
+        state = (
+            RegistrationState(self._known_runs_by_instance)
+            if address is None
+            else self._state_at(address)
+        )
+        if registration.note_left(state, run) and address is not None:
+            self._unregister(address)
+
+    def _accept(self, heartbeat: Heartbeat) -> None:
         now = asyncio.get_running_loop().time()
         registered_address = self._registered_address(heartbeat.instance)
         state = self._state_at(heartbeat.address)
@@ -162,29 +258,27 @@
             gate.remove_server()
         self._save_registrations()
 
-    async def adopt(self, health_path_of: Callable[[str], str | None]) -> None:
-        """Register the servers from before this daemon's start that are still running.
-
-        `health_path_of` returns the path of a service's health check, or None.
-        """
+    async def adopt(self) -> None:
+        """Register the servers from before this daemon's start that are still running."""
         if self._adoption is None:
             return
         stored = await self._adoption.last_known()
-        await asyncio.gather(*(self._adopt_server(server, health_path_of) for server in stored))
+        if self._ledger is not None:
+            await self._ledger.wait_heard()
+        await asyncio.gather(*(self._adopt_server(server) for server in stored))
 
-    async def _adopt_server(
-        self, stored: Announcement, health_path_of: Callable[[str], str | None]
-    ) -> None:
+    async def _adopt_server(self, stored: Announcement) -> None:
         assert self._adoption is not None
-        health_path = health_path_of(stored.service)
-        if health_path is None or self._has_server_at(stored.address):
+        health_path = self._health_path_of(stored.service)
+        if not health_path or self._has_server_at(stored.address):
             return
         declared = await self._adoption.check(stored, health_path)
         if declared is None:
             return
-        if not self._has_server_at(stored.address):
-            now = asyncio.get_running_loop().time()
-            registration.adopt(self._state_at(stored.address), _as_heartbeat(stored), now)
+        now = asyncio.get_running_loop().time()
+        if not self._has_server_at(stored.address) and registration.adopt(
+            self._state_at(stored.address), _as_heartbeat(stored), now
+        ):
             self._gates.announce(stored._replace(expires_at=now + self._ttl))
             gate = self._gates.gate_for(split_address(stored.address)[1])
             gate.declarations.note_check(declared, now)
@@ -208,8 +302,14 @@
         registered_address = self._registered_address(instance)
         if registered_address is not None:
             registration.drain(self._state_at(registered_address), instance)
+            self._publish_draining(instance)
             self._save_registrations()
 
+    def _publish_draining(self, instance: str) -> None:
+        if self._ledger is not None:
+            known = self._known_runs_by_instance[instance]
+            self._ledger.publish(LeftRun(instance, known.started_ms, known.is_gone))
+
     def on_replaced(self, instance: str) -> None:
         """Remove an instance after another one has answered at its address."""
         log.warning(
--- a/hornbeamgw/daemon/codec.py
+++ b/hornbeamgw/daemon/codec.py
@@ -10,6 +10,7 @@
 import capnp
 
 from hornbeamgw.core.declaration import Heard
+from hornbeamgw.core.departures import LeftRun
 from hornbeamgw.core.finding import MAX_FINDINGS, MAX_FINGERPRINTS, Finding, FindingKind
 from hornbeamgw.core.membership import FurtherServer, Member, ServerState, Status
 from hornbeamgw.core.snapshot import Limits
@@ -374,6 +375,14 @@
     outlook.retryAfterMs = f.retry_after_ms
 
 
+def _write_departures(out: Any, f: frames.Departures) -> None:
+    departures = out.init("departures")
+    departures.reliable = f.is_reliable
+    runs = departures.init("runs", len(f.runs))
+    for raw, run in zip(runs, f.runs, strict=True):
+        raw.instance, raw.startedMs, raw.gone = run
+
+
 _writers_by_type: dict[type, Callable[[Any, Any], None]] = {
     frames.Hello: _write_hello,
     frames.Heartbeat: _write_heartbeat,
@@ -394,6 +403,7 @@
     frames.Floor: _write_floor,
     frames.OutlookRequest: _write_outlook_request,
     frames.Outlook: _write_outlook,
+    frames.Departures: _write_departures,
 }
 
 
@@ -533,6 +543,11 @@
 )
 
 
+def _read_departures(raw: Any) -> frames.Departures:
+    runs = tuple(LeftRun(run.instance, run.startedMs, run.gone) for run in raw.runs)
+    return frames.Departures(runs, raw.reliable)
+
+
 _readers_by_kind: dict[str, Callable[[Any], frames.Frame]] = {
     "hello": _frame_reader(
         frames.Hello, schema.Hello, "fleet", "member", "incarnation", "dataCentre"
@@ -565,6 +580,7 @@
         "waitMs",
         "retryAfterMs",
     ),
+    "departures": _read_departures,
 }
 
 
--- a/hornbeamgw/daemon/directory.py
+++ b/hornbeamgw/daemon/directory.py
@@ -12,6 +12,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Iterable, Mapping
 
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, RowStore, StoredRow
@@ -68,6 +69,13 @@
     return dead
 
 
+def unchanged_rows(
+    rows: Iterable[StoredRow], revisions_by_key: Mapping[str, int]
+) -> list[StoredRow]:
+    """Return the rows that have the revision of their key."""
+    return [row for row in rows if revisions_by_key.get(row.key) == row.revision]
+
+
 class Directory:
     """The way in which a daemon joins the fleet through the platform's store."""
 
@@ -88,6 +96,7 @@
         self._rng = rng
         self._own_row = own_row
         self._is_first_start = is_first_start
+        self._dead_revisions_by_key: dict[str, int] = {}
 
     async def run(self) -> None:
         """Join the fleet, and then delete rows of ended daemons when selected for it."""
@@ -167,9 +176,16 @@
             self._control.announce_everywhere()
 
     async def _sweep(self) -> None:
+        """Delete the rows of daemons that had ended at the last sweep already.
+
+        A daemon that is started again soon needs its row, which says which servers have left.
+        """
         try:
             page = await self._rows.read(TABLE)
-            for row in rows_of_dead_daemons(page, self._control.view.members_by_address):
+            dead = rows_of_dead_daemons(page, self._control.view.members_by_address)
+            swept = unchanged_rows(dead, self._dead_revisions_by_key)
+            self._dead_revisions_by_key = {row.key: row.revision for row in dead}
+            for row in swept:
                 if page.era != (self._control.node.era or 0):
                     return  # Row revisions of another era can't be used for conditional writes.
                 await self._rows.write(TABLE, row.key, None, row.revision)
--- a/hornbeamgw/daemon/frames.py
+++ b/hornbeamgw/daemon/frames.py
@@ -10,6 +10,7 @@
 
 from hornbeamgw.core import fingerprint
 from hornbeamgw.core.declaration import Heard
+from hornbeamgw.core.departures import LeftRun
 from hornbeamgw.core.membership import Member
 from hornbeamgw.core.snapshot import Limits
 from hornbeamgw.core.verdict import Failure
@@ -248,6 +249,17 @@
     confirmed: bool
 
 
+class Departures(NamedTuple):
+    """Runs of the sender's servers that leave, or the answer with all that is kept of them.
+
+    An answer `is_reliable` if its sender was running before anything could have been told to it
+    that still matters.
+    """
+
+    runs: tuple[LeftRun, ...]
+    is_reliable: bool
+
+
 Frame = (
     Hello
     | Heartbeat
@@ -268,4 +280,5 @@
     | Floor
     | OutlookRequest
     | Outlook
+    | Departures
 )
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import os
 import random
@@ -33,6 +34,7 @@
 from hornbeamgw.daemon.calls import Calls, Identity, MeshView
 from hornbeamgw.daemon.containment import run_every
 from hornbeamgw.daemon.control import Control
+from hornbeamgw.daemon.departures import Keeper, Ledger, ask_keeper, keepers_of
 from hornbeamgw.daemon.directory import Directory
 from hornbeamgw.daemon.flow import Pacer
 from hornbeamgw.daemon.former_hold import FormerProcess
@@ -162,7 +164,8 @@
             self._snapshot,
             self._version_age,
         )
-        self.peers = PeerServer(self.control, self.reader, self.gates)
+        keeper = Keeper(startup.started_at, settings.first_start)
+        self.peers = PeerServer(self.control, self.reader, self.gates, keeper)
         pipelining = Pipelining(
             self.calls.on_request, self.calls.is_idempotent, lambda: self.calls.draining
         )
@@ -182,8 +185,15 @@
         self.admin = HttpServer(admin.on_request, timeouts)
         self.metrics = HttpServer(admin.on_request, timeouts)
         self.ready = HttpServer(self._on_ready_request, timeouts)
+        self._ledger = _ledger(settings, own_row, self.control, is_first)
         self._server_registry = _server_registry(
-            settings, self.gates, self._accepts_service, self.adoption
+            settings,
+            self.gates,
+            self._accepts_service,
+            self.adoption,
+            self._ledger,
+            me.incarnation,
+            self._health_path_of,
         )
         self.announcements = _announcements(settings, self._server_registry, timeouts)
         self._stop_signals = 0
@@ -207,6 +217,12 @@
         is_own = name == self.settings.server_service
         return is_own or not snapshot.version or name in snapshot.services
 
+    def _health_path_of(self, service: str) -> str | None:
+        snapshot = self._snapshot()
+        if service not in snapshot.services:
+            return None
+        return snapshot.health_paths_by_service.get(service, "")
+
     def _view(self) -> MeshView:
         view = self.control.view
         return MeshView(
@@ -278,6 +294,8 @@
             self.control.spawn(tallies)
         if self.adoption is not None and self._server_registry is not None:
             self.control.spawn(self._adopt_servers(self._server_registry))
+        if self._ledger is not None and self.reader.directory is not None:
+            self.control.spawn(self._ledger.recall(self.reader.directory.view_received))
         if self.settings.statsd:
             from hornbeamgw.daemon.metrics import Metrics
 
@@ -296,7 +314,7 @@
         """Adopt the backend servers from before a restart, once a catalogue version is in force."""
         while not versions.is_ready(self.control.versions):
             await asyncio.sleep(ADOPTION_POLL_INTERVAL_S)
-        await registry.adopt(lambda name: self._snapshot().health_paths_by_service.get(name))
+        await registry.adopt()
 
     def _check_links(self) -> None:
         self.links.check(asyncio.get_running_loop().time())
@@ -457,17 +475,37 @@
     return Adoption(own_row, dialect)
 
 
+def _ledger(
+    settings: Settings, own_row: OwnRow | None, control: Control, is_first: bool
+) -> Ledger | None:
+    if not settings.directory or own_row is None:
+        return None
+    ask = functools.partial(ask_keeper, control.send_request)
+    return Ledger(own_row, lambda: keepers_of(control.view), ask, is_first)
+
+
 def _server_registry(
     settings: Settings,
     gates: Gates,
     accepts_service: Callable[[str], bool],
     adoption: Adoption | None,
+    ledger: Ledger | None,
+    started_ms: int,
+    health_path_of: Callable[[str], str | None],
 ) -> ServerRegistry | None:
     if not settings.announcements:
         return None
-    decode = decoders_by_name[settings.calls_dialect]
-    connections, ttl = settings.server_connections, settings.server_announce_ttl
-    return ServerRegistry(gates, decode, connections, ttl, accepts_service, adoption)
+    return ServerRegistry(
+        gates,
+        decoders_by_name[settings.calls_dialect],
+        settings.server_connections,
+        settings.server_announce_ttl,
+        accepts_service,
+        adoption,
+        ledger,
+        started_ms,
+        health_path_of,
+    )
 
 
 def _announcements(
--- a/hornbeamgw/daemon/peers.py
+++ b/hornbeamgw/daemon/peers.py
@@ -10,6 +10,7 @@
 from hornbeamgw.core.options import split_address
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.control import Control
+from hornbeamgw.daemon.departures import Keeper
 from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.reader import Reader
@@ -84,8 +85,9 @@
 class PeerServer:
     """Server for links that other daemons open."""
 
-    def __init__(self, control: Control, reader: Reader, gates: Gates) -> None:
+    def __init__(self, control: Control, reader: Reader, gates: Gates, keeper: Keeper) -> None:
         """Initialise with the components that handle frames."""
+        self._keeper = keeper
         self._control = control
         self._reader = reader
         self._gates = gates
@@ -112,6 +114,10 @@
             self._answer(link, "pull", self._control.answer_pull(frame.version))
         elif isinstance(frame, frames.ViewRequest):
             self._answer(link, "view", self._control.answer_view(frame.member))
+        elif isinstance(frame, frames.Departures):
+            assert link.peer is not None
+            kept = self._keeper.answer(link.peer.member, frame)
+            self._answer(link, "departures", kept)
         elif isinstance(frame, frames.FloorRequest):
             self._control.spawn(self._answer_floor(link, frame.address))
         else:
--- a/hornbeamgw/daemon/presence.py
+++ b/hornbeamgw/daemon/presence.py
@@ -1,7 +1,8 @@
-"""The directory row of a daemon: its membership record and its servers' last announcements.
+"""The directory row of a daemon: its membership record, and what it knows of its servers.
 
-Both are stored in one row, so a daemon that starts finds its own servers when it reads the
-directory. If nothing changed, a restart causes a single read of the store and no write.
+All is stored in one row, so a daemon that starts finds its own servers, and those that have left,
+when it reads the directory. If nothing changed, a restart causes a single read of the store and no
+write.
 """
 
 from __future__ import annotations
@@ -10,13 +11,14 @@
 import logging
 import random
 from collections.abc import Callable, Iterable, Sequence
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 import msgspec
 
 from hornbeamgw.backends.base import PlatformError
 from hornbeamgw.backends.rows import RowPage, RowStore, StoredRow
-from hornbeamgw.core import backoff
+from hornbeamgw.core import backoff, departures
+from hornbeamgw.core.departures import MAX_LEFT_RUNS, LeftRun, LeftRuns
 from hornbeamgw.core.finding import MAX_FINDINGS, MAX_FINGERPRINTS, Finding
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.options import is_address
@@ -52,15 +54,26 @@
 
 
 class DirectoryEntry(NamedTuple):
-    """Content of a directory row: a daemon's record and its serving backend servers."""
+    """Content of a directory row: a daemon's record, its serving servers, and those that left."""
 
     member: Member
     servers: tuple[Announcement, ...] = ()
+    left: LeftRuns = ()
+
+
+class _LocalServers(TypedDict):
+    servers: tuple[Announcement, ...]
+    left: tuple[LeftRun, ...]
 
 
-_encode = msgspec.json.encode
 _decoder = msgspec.json.Decoder(tuple[Member, msgspec.Raw])
-_servers_decoder = msgspec.json.Decoder(tuple[Announcement, ...] | None)
+_servers_decoder = msgspec.json.Decoder(tuple[Announcement, ...] | _LocalServers | None)
+
+
+def _encode(entry: DirectoryEntry) -> bytes:
+    """Encode a row; its second part, which only its own daemon reads, is a list if none left."""
+    local = _LocalServers(servers=entry.servers, left=entry.left) if entry.left else entry.servers
+    return msgspec.json.encode((entry.member, local))
 
 
 def decode_member(row: StoredRow) -> Member:
@@ -90,16 +103,23 @@
             raise ValueError(f"fingerprints {finding.fingerprints!r}, expected 0 to 2**64 - 1")
 
 
-def decode_servers(row: StoredRow) -> tuple[Announcement, ...]:
-    """Return the servers in a row; raise ValueError if the row is invalid."""
+def decode_local_servers(row: StoredRow) -> _LocalServers:
+    """Return the servers in a row, and those that left; raise ValueError if it is invalid."""
     _, raw = _decoder.decode(row.value or b"")
-    servers = _servers_decoder.decode(raw) or ()
-    for known in servers:
+    local = _servers_decoder.decode(raw) or ()
+    if isinstance(local, tuple):
+        local = _LocalServers(servers=local, left=())
+    for known in local["servers"]:
         if not is_address(known.address):
             raise ValueError(f"address {known.address!r}, expected an IP address and a port")
         if not 1 <= known.slots <= MAX_SLOTS:
             raise ValueError(f"slots {known.slots!r}, expected 1 to {MAX_SLOTS}")
-    return servers
+    if len(local["left"]) > MAX_LEFT_RUNS:
+        raise ValueError(f"{len(local['left'])} runs that left, expected at most {MAX_LEFT_RUNS}")
+    for run in local["left"]:
+        if not 0 <= run.started_ms < 1 << 64:
+            raise ValueError(f"started_ms {run.started_ms!r}, expected 0 to {(1 << 64) - 1}")
+    return local
 
 
 def _location_fields(member: Member) -> tuple[str, str, int]:
@@ -117,25 +137,52 @@
         self._on_findings = on_findings
         self._rows = rows
         self._me = me
-        self._servers: tuple[Announcement, ...] = ()
+        # The stored servers are kept until this process has registered its first one.
+        self._servers: tuple[Announcement, ...] | None = None
+        self.left: LeftRuns = ()
+        # Called with the runs that had left according to a row that was read.
+        self.on_left_found: Callable[[LeftRuns], None] = lambda runs: None
         self._stored: DirectoryEntry | None = None
         self._stored_at = 0.0
         # The servers of the row from before this start; None if they are not known.
         self.former_servers: tuple[Announcement, ...] | None = None
         self._lookup_done = asyncio.Event()
         self._changed = asyncio.Event()
+        self._written = asyncio.Event()
+        # Revision of the stored row, 0 if there is none; None if a read has to tell.
+        self._revision: int | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether the row from before this process's start is known."""
+        return self._lookup_done.is_set()
 
     def found(self, row: StoredRow | None) -> None:
         """Set the stored row after a read of the directory; None if there is no row."""
         if not self._lookup_done.is_set() and row is None:
             self.former_servers = ()
+            self._revision = 0
         if self._stored is None and row is not None:
-            self._stored = _decode_entry(row)
-            self._stored_at = asyncio.get_running_loop().time()
+            self._note_stored(row)
             if not self._lookup_done.is_set() and self._stored is not None:
                 self.former_servers = self._stored.servers
         self._lookup_done.set()
 
+    def _note_stored(self, row: StoredRow) -> None:
+        """Set the stored row, and keep what it says of servers that have left."""
+        self._revision = row.revision
+        self._stored = _decode_entry(row)
+        self._stored_at = asyncio.get_running_loop().time()
+        if self._stored is not None:
+            self.left = departures.merge(self._stored.left, self.left)
+            self.on_left_found(self._stored.left)
+        self._wake()
+
+    def _wake(self) -> None:
+        """Wake those that wait until something is stored."""
+        self._written.set()
+        self._written = asyncio.Event()
+
     async def last_known(self) -> Sequence[Announcement]:
         """Return the servers that were stored before this daemon started."""
         await self._lookup_done.wait()
@@ -147,12 +194,25 @@
         self._servers = tuple(known._replace(expires_at=0.0, warm_at=0.0) for known in serving)
         self._changed.set()
 
+    def add_left(self, runs: LeftRuns) -> None:
+        """Add runs that have left or drain to those to store."""
+        left = departures.merge(self.left, runs)
+        if left != self.left:
+            self.left = left
+            self._changed.set()
+
+    async def wait_stored(self, run: LeftRun) -> None:
+        """Wait until the stored row includes a run that has left."""
+        while self._stored is None or not departures.includes(self._stored.left, run):
+            await self._written.wait()
+
     def rewrite_after_restore(self) -> None:
         """Write the row again if a store that was restored from a backup may have lost it."""
         loop = asyncio.get_running_loop()
         if self._stored is None or loop.time() - self._stored_at > BACKUP_MAX_AGE_S:
             return
-        self._stored = None
+        self._servers = self._servers_to_store()
+        self._stored = self._revision = None
         loop.call_later(random.uniform(0, REWRITE_MAX_DELAY_S), self._changed.set)
 
     def set_findings(self, findings: tuple[Finding, ...]) -> None:
@@ -175,7 +235,14 @@
         stored = self._stored
         if stored is None or _location_fields(stored.member) != _location_fields(self._me):
             return False
-        return stored.servers == self._servers and stored.member.findings == self._me.findings
+        if stored.servers != self._servers_to_store() or stored.left != self.left:
+            return False
+        return stored.member.findings == self._me.findings
+
+    def _servers_to_store(self) -> tuple[Announcement, ...]:
+        if self._servers is not None:
+            return self._servers
+        return () if self._stored is None else self._stored.servers
 
     async def run(self) -> None:
         """Keep the row up to date; the first write waits for a server announcement or a timeout."""
@@ -195,25 +262,51 @@
             await self._changed.wait()
 
     async def write(self) -> None:
-        """Write the row if it differs from the stored one, and retry until it succeeds."""
+        """Write the row if it differs from the stored one, and retry until it succeeds.
+
+        Each write depends on the revision of the row, so that one without an answer, which may
+        still take effect, can't undo a later one.
+        """
         failures = 0
         while not self._is_up_to_date():
-            entry = DirectoryEntry(self._me, self._servers)
             try:
-                await self._rows.write(TABLE, self._me.address, _encode(entry))
-                self._stored, self._stored_at = entry, asyncio.get_running_loop().time()
-            except PlatformError as error:
-                failures += 1
-                log.info(
-                    "writing this daemon's directory row failed; retrying",
-                    extra={"error": str(error), "try": failures},
-                )
-                await asyncio.sleep(backoff.ceiling(BACKOFF_S, BACKOFF_MAX_S, failures))
+                if await self._write_once():
+                    continue
+                error = "the row was written meanwhile"
+            except PlatformError as raised:
+                error = str(raised)
+            failures += 1
+            self._revision = None
+            log.info(
+                "writing this daemon's directory row failed; retrying",
+                extra={"error": error, "try": failures},
+            )
+            await asyncio.sleep(backoff.ceiling(BACKOFF_S, BACKOFF_MAX_S, failures))
+
+    async def _write_once(self) -> bool:
+        """Write the row, and return whether it was at the expected revision."""
+        key = self._me.address
+        if self._revision is None:
+            page = await self._rows.read(TABLE, key)
+            self._revision = 0
+            for row in page.rows:
+                self._note_stored(row)
+            if self._is_up_to_date():
+                return True
+        entry = DirectoryEntry(self._me, self._servers_to_store(), self.left)
+        revision = await self._rows.write(TABLE, key, _encode(entry), self._revision)
+        if not revision:
+            return False
+        self._revision = revision
+        self._stored, self._stored_at = entry, asyncio.get_running_loop().time()
+        self._wake()
+        return True
 
 
 def _decode_entry(row: StoredRow) -> DirectoryEntry | None:
     try:
-        return DirectoryEntry(decode_member(row), decode_servers(row))
+        local = decode_local_servers(row)
+        return DirectoryEntry(decode_member(row), local["servers"], local["left"])
     except ValueError as error:
         log.warning(
             "this daemon's directory row is invalid; ignoring it",
--- a/hornbeamgw/schema/messages.capnp
+++ b/hornbeamgw/schema/messages.capnp
@@ -25,6 +25,7 @@
     outlook @18 :Outlook;
     identifiedCall @19 :IdentifiedCall;
     identifiedOutlookRequest @20 :IdentifiedOutlookRequest;
+    departures @21 :Departures;
   }
 }
 
@@ -170,6 +171,18 @@
   confirmed @1 :Bool;
 }
 
+# Runs of the sender's servers that have said that they leave; answered by what is kept of them.
+struct Departures {
+  runs @0 :List(LeftRun);
+  reliable @1 :Bool;  # in an answer: whether its sender has been running for long enough
+}
+
+struct LeftRun {
+  instance @0 :Text;
+  startedMs @1 :UInt64;
+  gone @2 :Bool;  # whether it has left; otherwise it drains
+}
+
 struct Member {
   address @0 :Text;
   dataCentre @1 :Text;
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -45,6 +45,8 @@
 ORGANISATIONS = "features/organisations.feature"
 FORMER_WORK = "features/former_work.feature"
 SERVER_RUNS = "features/server_runs.feature"
+DEPARTURES = "features/departures.feature"
+DEPARTURES_KEPT = "features/departures_kept.feature"
 
 
 class Mutant(NamedTuple):
@@ -696,6 +698,91 @@
         ),
         SERVER_RUNS,
     ),
+    Mutant(
+        "a departure is acknowledged once others know of it",
+        "hornbeamgw/daemon/announcements.py",
+        (("        return await self._ledger.confirm(run)\n", "        return True\n"),),
+        DEPARTURES,
+    ),
+    Mutant(
+        "a departure is stored",
+        "hornbeamgw/daemon/departures/ledger.py",
+        (
+            (
+                "            self._row.add_left(self._left)\n\n    def publish",
+                "            pass\n\n    def publish",
+            ),
+        ),
+        DEPARTURES,
+    ),
+    Mutant(
+        "a started daemon asks those that keep its departures",
+        "hornbeamgw/daemon/departures/ledger.py",
+        (("                self._learn(answer.runs)\n", "                pass\n"),),
+        DEPARTURES,
+    ),
+    Mutant(
+        "a daemon without rows of others isn't sure to be alone",
+        "hornbeamgw/daemon/departures/ledger.py",
+        (("may_be_called = not answers and", "may_be_called = False and"),),
+        DEPARTURES,
+    ),
+    Mutant(
+        "a heartbeat isn't believed while nobody can tell what was acknowledged",
+        "hornbeamgw/daemon/announcements.py",
+        (("        if self._must_verify(heartbeat):\n", "        if False:\n"),),
+        DEPARTURES,
+    ),
+    Mutant(
+        "a later run of a server that left is taken at once",
+        "hornbeamgw/core/registration.py",
+        (
+            (
+                "    return known if started_ms <= known.started_ms else",
+                "    return known if known else",
+            ),
+        ),
+        DEPARTURES,
+    ),
+    Mutant(
+        "a server that has left while it was checked isn't taken up",
+        "hornbeamgw/core/registration.py",
+        (
+            (
+                "or known.is_draining or known.is_gone:\n        return False",
+                "or False:\n        return False",
+            ),
+        ),
+        DEPARTURES,
+    ),
+    Mutant(
+        "a keeper that has forgotten doesn't answer for what it was told",
+        "hornbeamgw/daemon/departures/keeper.py",
+        (
+            (
+                "return frames.Departures(kept, now >= self._reliable_from)",
+                "return frames.Departures(kept, True)",
+            ),
+        ),
+        DEPARTURES,
+    ),
+    Mutant(
+        "a late write doesn't undo a departure",
+        "hornbeamgw/daemon/presence.py",
+        (("_encode(entry), self._revision)", "_encode(entry))"),),
+        DEPARTURES_KEPT,
+    ),
+    Mutant(
+        "a row is swept only if its daemon had ended at the last sweep",
+        "hornbeamgw/daemon/directory.py",
+        (
+            (
+                "            swept = unchanged_rows(dead, self._dead_revisions_by_key)\n",
+                "            swept = dead\n",
+            ),
+        ),
+        OUTSIDE,
+    ),
     Mutant(
         "after a restart only the very same server is taken up",
         "hornbeamgw/daemon/adoption.py",
