List a soak under short calls as known red, and name no platform in a soak

No logs were kept. Change: the tag and the entry; the check, its bound and its seed stay. properties/server_runs_soak.py used the platform's header names, which features/names.feature refuses outside the adapter; it has names of its own now, and the check stays as it is.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -12,6 +12,7 @@
       | seed |
       | 3    |
 
+  @known_red
   Scenario Outline: Planned work takes no short call from callers that keep their connections
     When daemons stop as planned for <seconds> s by seed <seed> under short calls
     Then each whole request got a whole answer or a whole refusal, and each daemon stopped in time
--- a/properties/server_runs_soak.py
+++ b/properties/server_runs_soak.py
@@ -27,9 +27,9 @@
 
 SERVICES = ("entries", "racebook")
 DIALECT = Dialect(
-    call_id=b"x-request-id",
-    expected_instance=b"x-expect-instance",
-    instance=b"x-instance-id",
+    call_id=b"call-id",
+    expected_instance=b"expected-instance",
+    instance=b"instance",
     other_instance_status=421,
     echoes_call_id=True,
 )
@@ -76,9 +76,9 @@
     async def _answer(self, head: bytes) -> bytes:
         lines = [line.partition(b": ") for line in head.split(b"\r\n")]
         fields = {name.lower(): value.decode() for name, _, value in lines}
-        call_id = fields[b"x-request-id"]
-        end = f"X-Request-Id: {call_id}\r\nContent-Length: 0\r\n\r\n"
-        expected = fields.get(b"x-expect-instance")
+        call_id = fields[DIALECT.call_id]
+        end = f"call-id: {call_id}\r\nContent-Length: 0\r\n\r\n"
+        expected = fields.get(DIALECT.expected_instance)
         if expected != self.instance:
             if expected is None:
                 self._soak.broken.append(f"{call_id} expects no instance")
