--- a/features/steps/server_runs.py
+++ b/features/steps/server_runs.py
@@ -27,7 +27,7 @@
 # Long enough for a request that is wrongly sent to arrive.
 SETTLE_S = 0.1
 TTL_S = 0.5
-# Seeds 1, 2 and 4 fail on the code before runs had owners.
+# Seeds 1, 2 and 4 showed requests at the server of another service.
 SEEDS = (1, 2, 3, 4)
 
 
