--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -177,6 +177,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + VERIFICATION_TIMEOUT_S
         is_asked = False
+        evidence = "departures known"
         await self._ledger.wait_heard()
         while self._must_verify(heartbeat):
             health_path = self._health_path_of(heartbeat.service)
@@ -184,9 +185,11 @@
                 is_asked = True
                 announcement = self._announcement(heartbeat, 0.0, 0.0)
                 if await self._adoption.check(announcement, health_path) is not None:
+                    evidence = "health check"
                     break
             can_ask = health_path != "" and self._adoption is not None
             if not can_ask and self._ledger.is_heard.is_set():
+                evidence = "nothing known"
                 break
             if loop.time() >= deadline:
                 log.info(
@@ -195,6 +198,14 @@
                 )
                 return
             await self._ledger.wait_complete()
+        log.info(
+            "heartbeat of a backend server from before this daemon's start believed",
+            extra={
+                "instance": heartbeat.instance,
+                "sequence": heartbeat.sequence,
+                "evidence": evidence,
+            },
+        )
         try:
             self._accept(heartbeat)
         except ValueError as error:
--- a/hornbeamgw/daemon/departures/ledger.py
+++ b/hornbeamgw/daemon/departures/ledger.py
@@ -85,11 +85,15 @@
         """Return whether the store or enough keepers know a recorded departure, within a time."""
         if departures.includes(self._confirmed, run):
             return True
-        pending = {self._spawn(self._is_stored(run)), self._spawn(self._is_kept(run))}
+        is_stored, is_kept = self._spawn(self._is_stored(run)), self._spawn(self._is_kept(run))
+        pending = {is_stored, is_kept}
         while pending:
             done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
             if any(task.result() for task in done):
                 self._confirmed = departures.merge(self._confirmed, [run])
+                by = "store" if is_stored in done and is_stored.result() else "keepers"
+                fields = {"run": run._asdict(), "by": by}
+                log.info("departure of a backend server confirmed", extra=fields)
                 return True
         log.warning(
             "departure of a backend server not acknowledged: nobody has confirmed it",
