--- a/features/steps/departures.py
+++ b/features/steps/departures.py
@@ -201,6 +201,11 @@
     context.runner.run(run())
 
 
+@when("the server says that it drains")
+def drains_unheard(context):
+    context.status = context.runner.run(leave(context, "draining"))
+
+
 @then("that isn't acknowledged, within {seconds:d} second")
 def not_acknowledged(context, seconds):
     assert context.status == 503, context.status
@@ -270,6 +275,7 @@
 
 
 @given("the store doesn't answer A")
+@when("the store doesn't answer A")
 def store_away_for_a(context):
     context.store.set_fault_at(context.store_address_by_name["A"], OUTAGE)
 
@@ -346,6 +352,23 @@
     context.runner.run(run())
 
 
+@when("all daemons are killed, and start again when the store answers again")
+def all_killed(context):
+    async def run():
+        addresses = {}
+        for name, daemon in context.daemon_by_name.items():
+            addresses[name] = daemon.control.view.me.address
+            await end_daemon(context, daemon)
+        await asyncio.sleep(SETTLE_S)
+        context.store.fault = ""
+        for name in ("B", "C"):
+            await start_daemon(context, name, addresses[name])
+        await start_again(context, addresses["A"])
+        await knows_all(context)
+
+    context.runner.run(run())
+
+
 @when("a heartbeat from before arrives")
 def late_arrives(context):
     async def run():
@@ -406,6 +429,12 @@
     context.runner.run(run())
 
 
+@then("no daemon sends the server a request, if it was acknowledged")
+def none_sends_if_acknowledged(context):
+    if context.status == 200:
+        none_sends(context)
+
+
 @then("A doesn't send the server a request")
 def a_sends_none(context):
     async def run():
