Acknowledge a departure only once the store has confirmed it

The row still listed the server, and a late heartbeat and a health check that said 200 brought it back.

Cause: a promise that is longer than the life of those who keep it. What must last lies in the platform's store; processes can't vouch for it.

Change: 200 only once the daemon's row has the departure. What it costs: a server that leaves while the store is away isn't told that it may end until the store is back, or ends by itself some seconds later. Its requests are spared either way.

features/departures.feature expected the acknowledgement of keepers in seven places: that was the fault. In these the server must now be told 503, and what they check afterwards, that no daemon sends it a request, is unchanged.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -32,42 +32,53 @@
     And a heartbeat from before arrives
     Then no daemon sends the server a request
 
+    Examples:
+      | trouble                           | later                             |
+      | the store loses the next answer   | the store answers again           |
+      | the store does the next write late | the store answers again         |
+      | the other daemons have ended      | the other daemons have ended      |
+
+  # Guards against requests at a server that nobody could promise to spare, as only daemons know it.
+  Scenario Outline: A departure while <trouble> isn't acknowledged, and binds all the same when <later>
+    Given <trouble>
+    When the server leaves, which isn't acknowledged
+    And A is killed, and starts again when <later>
+    And a heartbeat from before arrives
+    Then no daemon sends the server a request
+
     Examples:
       | trouble                           | later                             |
       | the store answers nobody          | the store answers nobody          |
       | the store answers nobody          | the store answers again           |
       | the store doesn't answer A        | the store doesn't answer A        |
       | the store doesn't answer A        | the store answers again           |
-      | the store loses the next answer   | the store answers again           |
-      | the store does the next write late | the store answers again         |
-      | the other daemons have ended      | the other daemons have ended      |
 
   # Guards against trust in health checks, which may be late to tell that a server leaves.
   Scenario Outline: A departure while <trouble> binds though health checks say that the server serves
     Given the server's health checks say that it serves
     And <trouble>
-    When the server leaves, which is acknowledged
+    When the server leaves, which <is> acknowledged
     And A is killed, and starts again when <later>
     And a heartbeat from before arrives
     Then no daemon sends the server a request
 
     Examples:
-      | trouble                    | later                   |
-      | the store answers          | the store answers again |
-      | the store answers nobody   | the store answers again |
-      | the store doesn't answer A | the store answers again |
+      | trouble                    | later                   | is    |
+      | the store answers          | the store answers again | is    |
+      | the store answers nobody   | the store answers again | isn't |
+      | the store doesn't answer A | the store answers again | isn't |
 
   # Guards against a daemon that takes itself for the only one, as it finds no rows of others.
   Scenario: What only the others know binds though their rows are missing
     Given the store has lost the rows of the other daemons
     And the store answers nobody
-    When the server leaves, which is acknowledged
+    When the server leaves, which isn't acknowledged
     And A is killed, and starts again when the store answers again
     And a heartbeat from before arrives
     Then no daemon sends the server a request
 
   # Guards against an acknowledgement that would not outlive the process that gives it.
-  Scenario: A departure that nobody else can know of isn't acknowledged, and holds all the same
+  Scenario: A departure that the store can't confirm isn't acknowledged, and holds all the same
     Given the other daemons have ended
     And the store answers nobody
     When the server leaves
@@ -86,7 +97,7 @@
   # Guards against keepers that were started again, and take what they have forgotten for nothing.
   Scenario: The server is asked where the others have forgotten what the store was never told
     Given the store answers nobody
-    When the server leaves, which is acknowledged
+    When the server leaves, which isn't acknowledged
     And A is killed, the other daemons start again, and A starts when the store answers again
     And a heartbeat from before arrives
     Then no daemon sends the server a request
--- a/features/steps/departures.py
+++ b/features/steps/departures.py
@@ -175,6 +175,11 @@
     assert context.runner.run(leave(context)) == 200
 
 
+@when("the server leaves, which isn't acknowledged")
+def leaves_unacknowledged(context):
+    assert context.runner.run(leave(context)) == 503
+
+
 @when("the server says that it drains, which is acknowledged")
 def drains(context):
     assert context.runner.run(leave(context, "draining")) == 200
@@ -274,6 +279,11 @@
     context.store.fault = OUTAGE
 
 
+@when("the store answers all daemons again")
+def store_back(context):
+    context.store.fault = ""
+
+
 @given("the store doesn't answer A")
 @when("the store doesn't answer A")
 def store_away_for_a(context):
--- a/hornbeamgw/core/departures.py
+++ b/hornbeamgw/core/departures.py
@@ -2,8 +2,9 @@
 
 A daemon that acknowledges such a message promises that the run gets no more requests. The promise
 also binds the next process of the daemon, which may hear a late heartbeat of that run. So what is
-acknowledged is in the daemon's row in the platform's store, or known to some other daemons, its
-keepers. A later process asks as many keepers as include one of those that have confirmed.
+acknowledged is in the daemon's row in the platform's store: all processes that know of it may end
+at once. Some other daemons, its keepers, are told as well. They spare the server also if the store
+could not be told, and a later process asks as many of them as include one that has probably heard.
 """
 
 from __future__ import annotations
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -97,7 +97,7 @@
             json_response(connection, 400, {"error": f"announcement: {error}"})
             return
         if not await self._may_acknowledge(message):
-            error_text = "departure not acknowledged: nobody else has confirmed it, send it again"
+            error_text = "departure not acknowledged: the store has not confirmed it, send it again"
             json_response(connection, 503, {"error": error_text})
             return
         send_response(connection, 200, [], b"")
--- a/hornbeamgw/daemon/departures/ledger.py
+++ b/hornbeamgw/daemon/departures/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
@@ -56,7 +57,7 @@
         self._ask = ask
         self._left: LeftRuns = ()
         self._confirmed: LeftRuns = ()
-        self._tasks: set[asyncio.Task[bool]] = set()
+        self._tasks: set[asyncio.Future[object]] = set()
         row.on_left_found = self._learn
         if is_first:
             self.is_complete.set()
@@ -82,31 +83,27 @@
         self._spawn(self.confirm(run))
 
     async def confirm(self, run: LeftRun) -> bool:
-        """Return whether the store or enough keepers know a recorded departure, within a time."""
+        """Return whether the store has confirmed a recorded departure, within a time.
+
+        The keepers are told as well, but what only processes know can end with all of them.
+        """
         if departures.includes(self._confirmed, run):
             return True
-        is_stored, is_kept = self._spawn(self._is_stored(run)), self._spawn(self._is_kept(run))
-        pending = {is_stored, is_kept}
-        while pending:
-            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-            if any(task.result() for task in done):
-                self._confirmed = departures.merge(self._confirmed, [run])
-                by = "store" if is_stored in done and is_stored.result() else "keepers"
-                fields = {"run": run._asdict(), "by": by}
-                log.info("departure of a backend server confirmed", extra=fields)
-                return True
-        log.warning(
-            "departure of a backend server not acknowledged: nobody has confirmed it",
-            extra={"run": run._asdict()},
-        )
-        return False
-
-    def _spawn(self, check: Awaitable[bool]) -> asyncio.Task[bool]:
-        # The second of two checks goes on after the first has succeeded, so that both sides know.
-        task = asyncio.ensure_future(check)
+        self._spawn(self._tell_keepers())
+        if not await self._is_stored(run):
+            log.warning(
+                "departure of a backend server not acknowledged: the store has not confirmed it",
+                extra={"run": run._asdict()},
+            )
+            return False
+        self._confirmed = departures.merge(self._confirmed, [run])
+        log.info("departure of a backend server confirmed", extra={"run": run._asdict()})
+        return True
+
+    def _spawn(self, work: Awaitable[object]) -> None:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return task
 
     async def _is_stored(self, run: LeftRun) -> bool:
         try:
@@ -116,14 +113,10 @@
             return False
         return True
 
-    async def _is_kept(self, run: LeftRun) -> bool:
-        try:
+    async def _tell_keepers(self) -> None:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CONFIRM_TIMEOUT_S):
-                answers = await self._ask_keepers()
-        except TimeoutError:
-            return False
-        known = sum(departures.includes(answer.runs, run) for answer in answers if answer)
-        return known >= departures.confirmations_needed(len(answers))
+                await self._ask_keepers()
 
     async def _ask_keepers(self) -> list[frames.Departures | None]:
         asked = [self._ask(keeper, self._left) for keeper in self._keepers()]
