Don't believe a health check about departures that the store knows

It could read nothing of the departure, so it asked the server, whose health check said 200, and took a late heartbeat for a present one. Likewise a late heartbeat of a server whose start lay in the future, as a clock had been set back since, was taken for one of a server that had started after the daemon.

Cause: where a start can't know what was acknowledged, it believed the server's answer. Health checks may lag or be wrong, and no acknowledgement rests on them.

Change: while the row can't be read, a heartbeat of a run from before the start counts only if it was certainly sent after the start: on a connection on which this process has answered an earlier message, or later than heartbeats can be late (10 s). A run that has left sends no more of them, so that evidence needs nobody's memory. A later start of the server is still taken at once, unless it lies in the future.

Cost: a sound server whose daemon starts while the store is away is back with its second heartbeat (1.5 s later), or after 10 s if it opens a connection for each; before, with the first one.

--- a/features/acknowledgements.feature
+++ b/features/acknowledgements.feature
@@ -30,7 +30,6 @@
     Then no daemon sends the server a request
 
   # Guards against a health check that is believed while the store can't tell who has left.
-  @known_red
   Scenario Outline: An acknowledgement binds while the store is away and the others know nothing
     When the server <says>, which is acknowledged
     And the other daemons start again, which forget what they were told
@@ -44,3 +43,30 @@
       | leaves              | the store answers nobody   |
       | says that it drains | the store answers nobody   |
       | leaves              | the store doesn't answer A |
+
+  # Guards against a sound server that is out of use for as long as the store is away.
+  Scenario: Without the store a server on new connections is believed once none can be that late
+    When the other daemons start again, which forget what they were told
+    And the store answers nobody
+    And A is killed, and was started a while ago
+    And the server is heard
+    Then A serves for it within 1 second
+
+  # Guards against a start that a clock which was set back makes look later than the daemon's.
+  Scenario: A server that seems to start in the future isn't taken for one that started since
+    Given the server seems to have started in an hour
+    When the server leaves, which is acknowledged
+    And the other daemons start again, which forget what they were told
+    And the store answers nobody
+    And A is killed and starts again
+    And a heartbeat from before arrives
+    Then no daemon sends the server a request
+
+  # Guards against a server that is out of use because the daemon was started with it.
+  Scenario: A true restart after the daemon's start is taken at once without the store
+    When the server leaves, which is acknowledged
+    And the other daemons start again, which forget what they were told
+    And the store answers nobody
+    And A is killed and starts again
+    And the server starts again at this moment and is heard
+    Then A serves for it within 1 second
--- a/features/departures.feature
+++ b/features/departures.feature
@@ -86,7 +86,7 @@
     And A doesn't send the server a request
 
   # Guards against a heartbeat that is believed while nobody can tell what was acknowledged.
-  Scenario: The server is asked where neither the store nor the others can tell
+  Scenario: The server isn't believed where neither the store nor the others can tell
     When the server leaves, which is acknowledged
     And the other daemons start again, which forget what they were told
     And the store answers nobody
@@ -103,7 +103,7 @@
     Then no daemon sends the server a request
 
   # Guards against a late heartbeat that passes for a later run of one that is known to have left.
-  Scenario: A later run under the name of one that left is asked, too, where nobody can tell
+  Scenario: A later run under the name of one that left isn't believed, either, where nobody can tell
     When the server leaves, which is acknowledged
     And the server starts again under its name and is heard
     And A can't reach the others, and the network holds up a heartbeat
@@ -114,13 +114,23 @@
     Then no daemon sends the server a request
 
   # Guards against a sound server that is out of use until the store answers.
-  Scenario: A server that says that it serves is taken where nobody can tell
+  Scenario: A server that says again that it serves is taken where nobody can tell
     When the other daemons start again, which forget what they were told
     And the store answers nobody
     And A is killed and starts again
-    And the server is heard
+    And the server is heard twice on one connection
     Then A serves for it within 1 second
 
+  # Guards against two late heartbeats, neither of which was sent after the daemon's start.
+  Scenario: Two heartbeats from before don't count as sent since the start
+    Given the server's health checks say that it serves
+    When the server leaves, which is acknowledged
+    And the other daemons start again, which forget what they were told
+    And the store answers nobody
+    And A is killed and starts again
+    And two heartbeats from before arrive, each on its own connection
+    Then no daemon sends the server a request
+
   # Guards against a server that can't be asked, and is out of use for a minute.
   Scenario: A server without health checks is taken once the row and the others were heard
     Given services have no health checks
--- a/features/steps/adoption.py
+++ b/features/steps/adoption.py
@@ -23,6 +23,7 @@
 from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
 from hornbeamgw.daemon.presence import TABLE, OwnRow
+from hornbeamgw.testing.arrivals import first_arrival
 
 KEY = "10.0.0.9:7400"
 HEALTH = {"roster": "/healthz"}
@@ -103,7 +104,7 @@
         context.rows, context.server = Rows(), Server()
         context.address = await context.server.http.start("127.0.0.1:0")
         await begin(context)
-        context.taker._on_heartbeat(heartbeat(context))
+        context.taker._on_heartbeat(heartbeat(context), first_arrival())
         await asyncio.sleep(0.01)
         assert context.rows.values[TABLE, KEY], context.rows.values
 
@@ -226,9 +227,9 @@
 
 async def told(context, what):
     if isinstance(what, Departure):
-        context.taker._on_departure(what)
+        context.taker._on_departure(what, first_arrival())
     else:
-        context.taker._on_heartbeat(what)
+        context.taker._on_heartbeat(what, first_arrival())
     await asyncio.sleep(0.01)
 
 
@@ -273,7 +274,7 @@
 @when('the server is heard as "{instance}", started at {started:d} ms')
 def heard_started(context, instance, started):
     async def hear():
-        context.taker._on_heartbeat(heartbeat(context, instance, started))
+        context.taker._on_heartbeat(heartbeat(context, instance, started), first_arrival())
         await asyncio.sleep(0.01)
 
     context.runner.run(hear())
--- a/features/steps/departures.py
+++ b/features/steps/departures.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import base64
+import time
 
 import msgspec
 from behave import given, then, when
 
+from hornbeamgw.core import freshness
 from hornbeamgw.core.membership import ServerState, Status
 from hornbeamgw.daemon import plugins
 from hornbeamgw.daemon.directory import TABLE
@@ -76,9 +78,12 @@
         )
 
 
+def announcements_of_a(context):
+    return context.fleet.addresses[context.fleet.daemons.index(context.a)]["announcements"]
+
+
 async def tell(context, method, body, instance="i-1"):
-    address = context.fleet.addresses[context.fleet.daemons.index(context.a)]["announcements"]
-    client = HttpClient(address, 5.0)
+    client = HttpClient(announcements_of_a(context), 5.0)
     try:
         return (await client.request(method, f"/-/instances/{instance}", body=body)).status
     finally:
@@ -362,6 +367,30 @@
     context.runner.run(run())
 
 
+@when("A is killed, and was started a while ago")
+def started_long_ago(context):
+    killed(context)
+    context.a._server_registry._started_at -= freshness.MAX_LATENESS_S
+
+
+@given("the server seems to have started in an hour")
+def starts_in_future(context):
+    async def run():
+        context.server.started_ms = round(time.time() * 1000) + 3_600_000
+        context.server.sequence = 0
+        assert await tell(context, "PUT", context.server.heartbeat()) == 200
+        context.late = context.server.heartbeat()
+
+    context.runner.run(run())
+
+
+@when("the server starts again at this moment and is heard")
+def starts_now(context):
+    context.server.is_leaving, context.server.sequence = False, 0
+    context.server.started_ms = round(time.time() * 1000)
+    heard(context)
+
+
 @when("all daemons are killed, and start again when the store answers again")
 def all_killed(context):
     async def run():
@@ -401,6 +430,26 @@
     context.runner.run(tell(context, "PUT", context.server.heartbeat()))
 
 
+@when("the server is heard twice on one connection")
+def heard_twice(context):
+    async def run():
+        client = HttpClient(announcements_of_a(context), 5.0)
+        for _ in range(2):
+            body = context.server.heartbeat()
+            assert (await client.request("PUT", "/-/instances/i-1", body=body)).status == 200
+        client.close()
+
+    context.runner.run(run())
+
+
+@when("two heartbeats from before arrive, each on its own connection")
+def two_late_arrive(context):
+    latest = context.server.heartbeat()
+    late_arrives(context)
+    context.late = latest
+    late_arrives(context)
+
+
 @when("the server starts again under its name and is heard")
 def server_starts_again(context):
     context.server.is_leaving, context.server.started_ms = False, LATER_MS
--- a/features/steps/servers.py
+++ b/features/steps/servers.py
@@ -25,6 +25,7 @@
 from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
 from hornbeamgw.daemon.presence import TABLE, OwnRow, decode_member
 from hornbeamgw.daemon.server_exchange import MAX_REPORTED_WAIT_MS
+from hornbeamgw.testing.arrivals import first_arrival
 from hornbeamgw.testing.asker import RecordingLink
 from hornbeamgw.testing.local import wait_for
 
@@ -104,7 +105,7 @@
         address = server.address
     context.sequence += 1
     beat = Heartbeat(name, "roster", address, slots, state, context.sequence, software=version)
-    context.taker._process(beat)
+    context.taker._process(beat, first_arrival())
     await asyncio.sleep(ALONGSIDE_S)
 
 
@@ -152,7 +153,7 @@
 @when('the server "{name}" says goodbye')
 def leaves(context, name):
     async def leave():
-        context.taker._process(Departure(name))
+        context.taker._process(Departure(name), first_arrival())
 
     context.runner.run(leave())
 
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import logging
+import math
+import time
 from collections import OrderedDict
 from collections.abc import Callable
+from weakref import WeakKeyDictionary
 
 import h11
 
-from hornbeamgw.core import registration
+from hornbeamgw.core import freshness, registration
 from hornbeamgw.core.departures import LeftRun
+from hornbeamgw.core.freshness import Arrival
 from hornbeamgw.core.membership import ServerState
 from hornbeamgw.core.options import is_address, split_address
 from hornbeamgw.core.registration import Departure, Heartbeat, RegistrationState
@@ -58,6 +62,7 @@
         ledger: Ledger | None = None,
         started_ms: int = 0,
         health_path_of: Callable[[str], str | None] = lambda service: None,
+        started_at: float = -math.inf,
     ) -> None:
         """Create an empty registry.
 
@@ -65,12 +70,19 @@
         connection limit of each server. Announcements are decoded by `decode`, and refused for
         services that `accepts_service` rejects. `adoption` restores servers after a restart, and
         `ledger` keeps departures across one; without it, they end with the process. `started_ms`
-        is the start of this process in Unix milliseconds. `health_path_of` returns the path of a
-        service's health check, empty if it has none, and None for an unknown service.
+        is the start of this process in Unix milliseconds, and `started_at` by the clock of the
+        event loop (s). `health_path_of` returns the path of a service's health check, empty if it
+        has none, and None for an unknown service.
         """
         self._adoption = adoption
         self._ledger = ledger
         self._started_ms = started_ms
+        self._started_at = started_at
+        self._answered_at_by_connection: WeakKeyDictionary[HttpConnection, float] = (
+            WeakKeyDictionary()
+        )
+        # Time of the latest departure that doesn't tell which run of its instance has left.
+        self._unclear_departure_at = -math.inf
         self._health_path_of = health_path_of
         self._verifications_by_instance: dict[str, asyncio.Task[None]] = {}
         if ledger is not None:
@@ -87,11 +99,12 @@
 
     async def on_request(self, connection: HttpConnection, request: h11.Request) -> None:
         """Handle a request with a heartbeat or departure."""
+        arrival = self._arrival(connection)
         body = await read_body(connection, MAX_BODY_BYTES)
         method, path = request.method.decode(), request.target.decode("latin-1")
         try:
             message = self._decode(method, path, body)
-            self._process(message)
+            self._process(message, arrival)
         except ValueError as error:
             log.warning("announcement refused", extra={"error": str(error)})
             json_response(connection, 400, {"error": f"announcement: {error}"})
@@ -100,7 +113,14 @@
             error_text = "departure not acknowledged: the store has not confirmed it, send it again"
             json_response(connection, 503, {"error": error_text})
             return
+        is_pipelined = connection.has_input()
         send_response(connection, 200, [], b"")
+        if not is_pipelined:
+            self._answered_at_by_connection[connection] = asyncio.get_running_loop().time()
+
+    def _arrival(self, connection: HttpConnection) -> Arrival:
+        answered_at = self._answered_at_by_connection.pop(connection, -math.inf)
+        return Arrival(asyncio.get_running_loop().time(), time.time() * 1000, answered_at)
 
     async def _may_acknowledge(self, message: Heartbeat | Departure) -> bool:
         """Return whether what an acknowledgement promises would outlive this process."""
@@ -110,15 +130,15 @@
         self._ledger.note(run)
         return await self._ledger.confirm(run)
 
-    def _process(self, message: Heartbeat | Departure) -> None:
+    def _process(self, message: Heartbeat | Departure, arrival: Arrival) -> None:
         if isinstance(message, Departure):
-            self._on_departure(message)
+            self._on_departure(message, arrival)
         elif not is_address(message.address):
             raise ValueError(f"address {message.address!r}, expected an IP address and a port")
         elif not self._accepts_service(message.service):
             raise ValueError(f"service {message.service!r}, expected one of the configuration")
         else:
-            self._on_heartbeat(message)
+            self._on_heartbeat(message, arrival)
 
     def _state_at(self, address: str) -> RegistrationState:
         if address not in self.states_by_address:
@@ -143,35 +163,45 @@
         state = self.states_by_address.get(address)
         return state is not None and state.current is not None
 
-    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
-        if self._must_verify(heartbeat):
-            self._verify_soon(heartbeat)
-            return
-        self._accept(heartbeat)
+    def _on_heartbeat(self, heartbeat: Heartbeat, arrival: Arrival) -> None:
+        if not self._may_have_left(heartbeat, arrival):
+            self._accept(heartbeat)
+        elif freshness.is_sent_after(arrival, self._doubtful_until(heartbeat)):
+            _log_believed(heartbeat, "sent after this daemon's start")
+            self._accept(heartbeat)
+        else:
+            self._verify_soon(heartbeat, arrival)
 
-    def _must_verify(self, heartbeat: Heartbeat) -> bool:
+    def _may_have_left(self, heartbeat: Heartbeat, arrival: Arrival) -> bool:
         """Return whether the sender may have left, as told to this process or a former one."""
         if self._ledger is None or heartbeat.state is ServerState.DRAINING:
             return False
-        if 0 < self._started_ms < heartbeat.started_ms:
+        if freshness.is_born_after(heartbeat, self._started_ms, arrival):
             return False
         if registration.may_be_left_run(self._known_runs_by_instance, heartbeat):
             return True
         is_unknown = registration.is_unknown_run(self._known_runs_by_instance, heartbeat)
         return is_unknown and not self._ledger.is_complete.is_set()
 
-    def _verify_soon(self, heartbeat: Heartbeat) -> None:
+    def _doubtful_until(self, heartbeat: Heartbeat) -> float:
+        """Return the time (s) before which the sender may have left."""
+        if registration.may_be_left_run(self._known_runs_by_instance, heartbeat):
+            return max(self._started_at, self._unclear_departure_at)
+        return self._started_at
+
+    def _verify_soon(self, heartbeat: Heartbeat, arrival: Arrival) -> None:
         if heartbeat.instance in self._verifications_by_instance:
             return
-        task = asyncio.create_task(self._verify(heartbeat))
+        task = asyncio.create_task(self._verify(heartbeat, arrival))
         self._verifications_by_instance[heartbeat.instance] = task
         task.add_done_callback(lambda _: self._verifications_by_instance.pop(heartbeat.instance))
 
-    async def _verify(self, heartbeat: Heartbeat) -> None:
+    async def _verify(self, heartbeat: Heartbeat, arrival: Arrival) -> None:
         """Accept a heartbeat once it is known that its sender has not left.
 
-        That is known from the ledger, or else from the server itself if it has a health check. If
-        it isn't in time, the next heartbeat is verified.
+        That is known from the ledger. If other daemons may know of a departure that was not
+        acknowledged, the server itself is asked, if it has a health check. If it isn't known in
+        time, the next heartbeat is verified.
         """
         assert self._ledger is not None
         loop = asyncio.get_running_loop()
@@ -179,18 +209,18 @@
         is_asked = False
         evidence = "departures known"
         await self._ledger.wait_heard()
-        while self._must_verify(heartbeat):
+        while self._may_have_left(heartbeat, arrival):
             health_path = self._health_path_of(heartbeat.service)
-            if health_path and self._adoption is not None and not is_asked:
-                is_asked = True
-                announcement = self._announcement(heartbeat, 0.0, 0.0)
-                if await self._adoption.check(announcement, health_path) is not None:
-                    evidence = "health check"
-                    break
             can_ask = health_path != "" and self._adoption is not None
-            if not can_ask and self._ledger.is_heard.is_set():
-                evidence = "nothing known"
-                break
+            if self._is_unpromised(heartbeat):
+                if not can_ask:
+                    evidence = "stored row"
+                    break
+                if health_path and not is_asked:
+                    is_asked = True
+                    if await self._is_healthy(heartbeat, health_path):
+                        evidence = "stored row and health check"
+                        break
             if loop.time() >= deadline:
                 log.info(
                     "heartbeat ignored: the server may have left before this daemon's start",
@@ -198,19 +228,26 @@
                 )
                 return
             await self._ledger.wait_complete()
-        log.info(
-            "heartbeat of a backend server from before this daemon's start believed",
-            extra={
-                "instance": heartbeat.instance,
-                "sequence": heartbeat.sequence,
-                "evidence": evidence,
-            },
-        )
+        _log_believed(heartbeat, evidence)
         try:
             self._accept(heartbeat)
         except ValueError as error:
             log.warning("announcement refused", extra={"error": str(error)})
 
+    def _is_unpromised(self, heartbeat: Heartbeat) -> bool:
+        """Return whether no departure of the sender can have been acknowledged.
+
+        All that was acknowledged is in the stored row.
+        """
+        assert self._ledger is not None
+        is_unclear = registration.may_be_left_run(self._known_runs_by_instance, heartbeat)
+        return self._ledger.is_heard.is_set() and not is_unclear
+
+    async def _is_healthy(self, heartbeat: Heartbeat, health_path: str) -> bool:
+        assert self._adoption is not None
+        announcement = self._announcement(heartbeat, 0.0, 0.0)
+        return await self._adoption.check(announcement, health_path) is not None
+
     def _on_recalled(self, run: LeftRun) -> None:
         """Apply a departure that a former process of this daemon has acknowledged."""
         address = self._registered_address(run.instance)
@@ -294,8 +331,10 @@
             gate = self._gates.gate_for(split_address(stored.address)[1])
             gate.declarations.note_check(declared, now)
 
-    def _on_departure(self, message: Departure) -> None:
+    def _on_departure(self, message: Departure, arrival: Arrival) -> None:
         log.info("backend server announced its departure", extra={"instance": message.instance})
+        if not message.started_ms:
+            self._unclear_departure_at = arrival.at
         registered_address = self._registered_address(message.instance)
         state = (
             RegistrationState(self._known_runs_by_instance)
@@ -336,6 +375,17 @@
         self._save_registrations()
 
 
+def _log_believed(heartbeat: Heartbeat, evidence: str) -> None:
+    log.info(
+        "heartbeat of a backend server from before this daemon's start believed",
+        extra={
+            "instance": heartbeat.instance,
+            "sequence": heartbeat.sequence,
+            "evidence": evidence,
+        },
+    )
+
+
 def _as_heartbeat(stored: Announcement) -> Heartbeat:
     return Heartbeat(
         stored.instance,
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -194,6 +194,7 @@
             self._ledger,
             me.incarnation,
             self._health_path_of,
+            startup.started_at,
         )
         self.announcements = _announcements(settings, self._server_registry, timeouts)
         self._stop_signals = 0
@@ -492,6 +493,7 @@
     ledger: Ledger | None,
     started_ms: int,
     health_path_of: Callable[[str], str | None],
+    started_at: float,
 ) -> ServerRegistry | None:
     if not settings.announcements:
         return None
@@ -505,6 +507,7 @@
         ledger,
         started_ms,
         health_path_of,
+        started_at,
     )
 
 
--- a/properties/departures_soak.py
+++ b/properties/departures_soak.py
@@ -1,7 +1,9 @@
 """Departures soak: a daemon that is killed again and again, and servers beside it that leave.
 
 Heartbeats arrive up to six seconds late, the store is away, loses answers or does writes late, and
-the daemons that keep departures are started again or can't be reached. Whatever happens, a run
+the daemons that keep departures are started again or can't be reached, or lose power together with
+this one. In half of the seeds health checks say that a server serves for as long as it runs; some
+servers send their heartbeats on one connection, others on a new one each. Whatever happens, a run
 whose departure was acknowledged is never served again, and in the end each sound server is.
 Usage: python -m properties.departures_soak 1-50
 """
@@ -10,6 +12,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import sys
 from collections import Counter
@@ -21,6 +24,7 @@
 from hornbeamgw.core.declaration import NOTHING, Declaration
 from hornbeamgw.core.departures import LeftRuns
 from hornbeamgw.core.dialect import HORNBEAMGW
+from hornbeamgw.core.freshness import Arrival
 from hornbeamgw.core.membership import Member, ServerState
 from hornbeamgw.core.registration import Announcement, Departure, Heartbeat
 from hornbeamgw.core.snapshot import EMPTY_SNAPSHOT
@@ -105,6 +109,8 @@
         self.run = Run(f"i-{port}", 0)
         self.is_leaving = self.is_alive = False
         self.alive_since = 0.0
+        # The process that has answered the latest heartbeat on the connection, and when.
+        self.answered: tuple[Process | None, float] = None, -math.inf
         self._sequence = 0
         self._world = world
 
@@ -122,6 +128,7 @@
             name = self.run.instance if rng.random() < 0.5 else f"i-{rng.randrange(1 << 30)}"
             self.run = Run(name, world.started_ms())
             self.is_leaving, self.is_alive, self._sequence = False, True, 0
+            self.answered = None, -math.inf
             self.alive_since = world.now()
             beating = asyncio.create_task(self._beat())
             await asyncio.sleep(rng.uniform(3.0, 20.0))
@@ -134,8 +141,12 @@
             await asyncio.sleep(rng.uniform(0.1, 3.0))
 
     async def _beat(self) -> None:
+        if self._world.rng.random() < 0.5:
+            while True:
+                self._world.send_late(self.heartbeat())
+                await asyncio.sleep(HEARTBEAT_S)
         while True:
-            self._world.send_late(self.heartbeat())
+            await self._world.send_on_connection(self, self.heartbeat())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _leave(self) -> None:
@@ -158,8 +169,8 @@
             self._world.note_acknowledged(run)
 
 
-class HonestAdoption(Adoption):
-    """Health checks that servers answer truthfully, or not at all."""
+class SimulatedAdoption(Adoption):
+    """Health checks that servers answer truthfully, as if they always served, or not at all."""
 
     def __init__(self, row: OwnRow, world: World) -> None:
         """Ask the servers of a world."""
@@ -171,7 +182,9 @@
         await asyncio.sleep(self._world.rng.uniform(0.005, 0.1))
         server = self._world.server_by_address[known.address]
         is_same = server.is_alive and server.run.instance == known.instance
-        if not is_same or server.is_leaving or self._world.rng.random() < 0.1:
+        if not is_same or self._world.rng.random() < 0.1:
+            return None
+        if server.is_leaving and not self._world.do_checks_lie:
             return None
         return NOTHING
 
@@ -193,10 +206,11 @@
             lambda method, path, body: Departure(""),
             10,
             6.0,
-            adoption=HonestAdoption(self._row, world),
+            adoption=SimulatedAdoption(self._row, world),
             ledger=self._ledger,
             started_ms=me.incarnation,
             health_path_of=lambda service: "/healthz",
+            started_at=world.now(),
         )
         if is_first:
             self._row.found(None)
@@ -242,9 +256,13 @@
         for run in self.serving() & self._world.acknowledged:
             self._world.broken.append(f"{self._world.now():.3f}: {run} is served")
 
-    async def hear(self, message: Heartbeat | Departure) -> bool:
-        """Handle a message, and return whether it is acknowledged."""
-        self._registry._process(message)
+    async def hear(self, message: Heartbeat | Departure, answered_at: float = -math.inf) -> bool:
+        """Handle a message, and return whether it is acknowledged.
+
+        `answered_at` is when the message before it on the same connection was answered (s).
+        """
+        arrival = Arrival(self._world.now(), self._world.started_ms(), answered_at)
+        self._registry._process(message, arrival)
         return await self._registry._may_acknowledge(message)
 
     def kill(self) -> None:
@@ -266,6 +284,7 @@
         self.counts: Counter[str] = Counter()
         self.now_ms = 0
         self.is_calm = False
+        self.do_checks_lie = self.rng.random() < 0.5
         self.server_by_address = {s.address: s for s in (Server(self, port) for port in PORTS)}
         self._is_cut_off = False
         self._started_at = asyncio.get_running_loop().time()
@@ -326,13 +345,33 @@
         self._under_way.add(task)
         task.add_done_callback(self._under_way.discard)
 
+    async def send_on_connection(self, server: Server, message: Heartbeat) -> None:
+        """Send a message on the connection of the one before it, which the network may hold up."""
+        is_late = self.rng.random() < 0.2 and not self.is_calm
+        await asyncio.sleep(self.rng.uniform(0.0, MAX_LATE_S) if is_late else 0.01)
+        process = self._process
+        if process is None:
+            return
+        last, answered_at = server.answered
+        if last is not process:
+            answered_at = -math.inf
+        await process.hear(message, answered_at)
+        if process is self._process:
+            server.answered = process, self.now()
+
+    async def _lose_power(self) -> None:
+        for address in self._keeper_by_address:
+            self._keeper_by_address[address] = Keeper(self.now(), False)
+        await self._restart()
+
     async def _restart(self) -> None:
         if self._process is not None:
             self._process.kill()
             self._process = None
             self.counts["kills"] += 1
         await asyncio.sleep(self.rng.uniform(0.05, 2.0))
-        self._process = Process(self, False)
+        if self._process is None:
+            self._process = Process(self, False)
 
     async def _restart_keeper(self) -> None:
         if self._keeper_by_address:
@@ -364,6 +403,7 @@
         living = [asyncio.create_task(server.live()) for server in self.server_by_address.values()]
         causes = [(self._restart, 6.0), (self._disturb_store, 10.0), (self._spoil_writes, 12.0)]
         causes += [(self._cut_off, 12.0), (self._restart_keeper, 15.0)]
+        causes += [(self._lose_power, 20.0)]
         troubles = [asyncio.create_task(self._trouble(*cause)) for cause in causes]
         await asyncio.sleep(TROUBLE_S)
         for task in troubles:
