Let a departure without a start bind any run that it may be of

Callers' requests reach a server that has left (rule DRAIN) where its DELETE doesn't give the start of its run, and the daemon doesn't know that run yet: it recorded a run without a start, and the first one with a start that it then found in its row, or heard of in a late heartbeat, passed for a later one. A run that was started after the daemon was not even doubted.

Change: such a run is not taken up from the row, and its heartbeat counts only if it was sent after the departure, whenever it seems to have started.

Evidence: two scenarios of features/acknowledgements.feature, with health checks that say 200, failed before (all three daemons sent requests), and pass.

--- a/features/acknowledgements.feature
+++ b/features/acknowledgements.feature
@@ -70,3 +70,17 @@
     And A is killed and starts again
     And the server starts again at this moment and is heard
     Then A serves for it within 1 second
+
+  # Guards against a departure that doesn't tell its run, and is forgotten once a row tells of one.
+  Scenario: A departure without a start binds though the server is then taken up from the row
+    Given the server's health checks take a while
+    When A is killed, and the server leaves without telling its start while A checks it
+    And a heartbeat from before arrives
+    Then no daemon sends the server a request
+
+  # Guards against a server that was started after the daemon, and left before it was heard.
+  Scenario: A departure without a start binds a run that was started after the daemon, too
+    Given the server starts again at this moment, and the network holds up its heartbeat
+    When the server leaves without telling its start, which is acknowledged
+    And a heartbeat from before arrives
+    Then no daemon sends the server a request
--- a/features/steps/departures.py
+++ b/features/steps/departures.py
@@ -541,6 +541,57 @@
     context.runner.run(run())
 
 
+@when("A is killed, and the server leaves without telling its start while A checks it")
+def leaves_unclearly_during_check(context):
+    async def run():
+        await start_again(context, await kill(context))
+        await wait_for(lambda: context.server.checks)
+        assert await leave(context, body={}) == 200
+        context.server.may_answer_check.set()
+        await asyncio.sleep(CHECK_S)
+
+    context.runner.run(run())
+
+
+@given("the server starts again at this moment, and the network holds up its heartbeat")
+def starts_unheard(context):
+    async def run():
+        await end_server(context)
+        context.server.started_ms = round(time.time() * 1000)
+        context.server.sequence = 0
+        context.late = context.server.heartbeat()
+
+    context.runner.run(run())
+
+
+async def end_server(context):
+    """Let A know nothing of the server, as after a start."""
+    registry = context.a._server_registry
+    registry.on_replaced("i-1")
+    registry._known_runs_by_instance.clear()
+
+
+@when("the server's message that it drains is overtaken by a heartbeat, and acknowledged")
+def overtaken(context):
+    async def run():
+        draining, ready = context.server.heartbeat("draining"), context.server.heartbeat()
+        assert await tell(context, "PUT", ready) == 200
+        assert await tell(context, "PUT", draining) == 200
+        await asyncio.sleep(CHECK_S)
+
+    context.runner.run(run())
+
+
+@when("a message of its earlier run that it drains arrives")
+def earlier_run_drains(context):
+    async def run():
+        context.server.started_ms = STARTED_MS
+        context.server.sequence = 50
+        await tell(context, "PUT", context.server.heartbeat("draining"))
+
+    context.runner.run(run())
+
+
 @when("A has taken up the server")
 def taken_up(context):
     async def run():
--- a/hornbeamgw/core/registration.py
+++ b/hornbeamgw/core/registration.py
@@ -164,6 +164,8 @@
 
     Return False if it has left or drains, according to a later message.
     """
+    if may_be_left_run(state.known_runs_by_instance, heartbeat):
+        return False
     known = _latest_run(state, heartbeat.instance, heartbeat.started_ms)
     if known.started_ms > heartbeat.started_ms or known.is_draining or known.is_gone:
         return False
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -176,10 +176,10 @@
         """Return whether the sender may have left, as told to this process or a former one."""
         if self._ledger is None or heartbeat.state is ServerState.DRAINING:
             return False
-        if freshness.is_born_after(heartbeat, self._started_ms, arrival):
-            return False
         if registration.may_be_left_run(self._known_runs_by_instance, heartbeat):
             return True
+        if freshness.is_born_after(heartbeat, self._started_ms, arrival):
+            return False
         is_unknown = registration.is_unknown_run(self._known_runs_by_instance, heartbeat)
         return is_unknown and not self._ledger.is_complete.is_set()
 
