Let a server drain whose message of it was overtaken

Callers' requests reach a server whose `draining` was acknowledged (rule DRAIN) if a heartbeat with a higher sequence had come before it: the message was ignored as late, recorded for later processes, and answered 200 all the same. What is answered 200 holds, in this process as well.

Evidence: a scenario of features/acknowledgements.feature failed before (all three daemons sent requests) and passes. A message of an earlier run still says nothing of a later one, which is another scenario there.

--- a/features/acknowledgements.feature
+++ b/features/acknowledgements.feature
@@ -84,3 +84,13 @@
     When the server leaves without telling its start, which is acknowledged
     And a heartbeat from before arrives
     Then no daemon sends the server a request
+
+  # Guards against a message that is acknowledged, but ignored as it was overtaken by another.
+  Scenario: A server that says that it drains does so though a later heartbeat has overtaken that
+    When the server's message that it drains is overtaken by a heartbeat, and acknowledged
+    Then no daemon sends the server a request
+
+  Scenario: A late message of an earlier run that it drains doesn't concern the later run
+    When the server starts again under its name and is heard
+    And a message of its earlier run that it drains arrives
+    Then A serves for it within 1 second
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -249,7 +249,7 @@
         return await self._adoption.check(announcement, health_path) is not None
 
     def _on_recalled(self, run: LeftRun) -> None:
-        """Apply a departure that a former process of this daemon has acknowledged."""
+        """Apply a departure that came late, or that a former process has acknowledged."""
         address = self._registered_address(run.instance)
         state = (
             RegistrationState(self._known_runs_by_instance)
@@ -268,6 +268,10 @@
                 "late heartbeat ignored",
                 extra={"instance": heartbeat.instance, "sequence": heartbeat.sequence},
             )
+            # It is acknowledged, whether other messages have overtaken it or not.
+            run = registration.left_run(self._known_runs_by_instance, heartbeat)
+            if run is not None:
+                self._on_recalled(run)
             return
         if registered_address is not None and registered_address != heartbeat.address:
             log.info(
