Don't take a row from before a restore for all that was acknowledged

Callers' requests reach a server that had left (rule DRAIN) if all daemons end and the store comes back from a backup that lacks its departure, or if another writer has spoilt the row: the row of before lists the server as serving, a missing or unreadable one says nothing, and the start took either for the whole truth. Until now only a daemon that lived through the restore wrote its row again.

Change: a row names the store's era in which it was written. A start whose row is of an earlier era, missing in a later one, or unreadable doesn't take servers up from it, and believes heartbeats as it does while the store is away: those that were certainly sent since. Its own rows are marked likewise for a minute. A store that was never restored has era 0, so nothing is written or asked for more. The search for keepers ends 10 s after a start, when no heartbeat from before can arrive any more; before, it went on for as long as the store was away.

--- a/features/acknowledgements.feature
+++ b/features/acknowledgements.feature
@@ -94,3 +94,23 @@
     When the server starts again under its name and is heard
     And a message of its earlier run that it drains arrives
     Then A serves for it within 1 second
+
+  # Guards against a row of before that a restored store returns, or one that can't be read.
+  Scenario Outline: An acknowledgement binds all daemons' next processes though <loss>
+    Given a copy of the store is kept
+    When the server leaves, which is acknowledged
+    And all daemons are killed, <loss>, and they start again
+    And a heartbeat from before arrives
+    Then no daemon sends the server a request
+
+    Examples:
+      | loss                                           |
+      | the store comes back from the copy             |
+      | the store comes back from a copy without rows  |
+      | another writer spoils the row of A             |
+
+  Scenario: A sound server is taken with its second message after the store came back from a copy
+    Given a copy of the store is kept
+    When all daemons are killed, the store comes back from the copy, and they start again
+    And the server is heard twice on one connection
+    Then A serves for it within 1 second
--- a/features/steps/departures.py
+++ b/features/steps/departures.py
@@ -408,6 +408,29 @@
     context.runner.run(run())
 
 
+@when("all daemons are killed, {loss}, and they start again")
+def all_killed_with_loss(context, loss):
+    async def run():
+        addresses = {}
+        for name, daemon in context.daemon_by_name.items():
+            addresses[name] = daemon.control.view.me.address
+            await end_daemon(context, daemon)
+        rows = context.store.rows_by_table_and_key
+        if loss.startswith("the store comes back"):
+            context.store.restore(context.copy)
+        if loss.endswith("without rows"):
+            for key in [key for key in rows if key[0] == TABLE]:
+                del rows[key]
+        if loss.startswith("another writer"):
+            context.store.put(TABLE, addresses["A"], b"spoilt")
+        for name in ("B", "C"):
+            await start_daemon(context, name, addresses[name])
+        await start_again(context, addresses["A"])
+        await knows_all(context)
+
+    context.runner.run(run())
+
+
 @when("a heartbeat from before arrives")
 def late_arrives(context):
     async def run():
--- a/hornbeamgw/daemon/departures/ledger.py
+++ b/hornbeamgw/daemon/departures/ledger.py
@@ -7,7 +7,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
-from hornbeamgw.core import backoff, departures
+from hornbeamgw.core import backoff, departures, freshness
 from hornbeamgw.core.departures import LeftRun, LeftRuns
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.presence import OwnRow
@@ -126,11 +126,17 @@
         """Learn what former processes have acknowledged, from the row and the keepers.
 
         `joined` is set once the other daemons are known. While the store can't be read, those that
-        have called this daemon meanwhile are asked.
+        have called this daemon meanwhile are asked. It ends once no heartbeat from before the start
+        can arrive any more.
         """
         loop = asyncio.get_running_loop()
         failures, alone_since = 0, loop.time()
+        ends_at = loop.time() + freshness.MAX_LATENESS_S
         while not self.is_complete.is_set():
+            if loop.time() > ends_at:
+                self.is_heard.set()
+                self.is_complete.set()
+                return
             is_joined = joined.is_set()
             if not is_joined:
                 alone_since = loop.time()
@@ -142,7 +148,7 @@
             is_enough = reliable >= departures.answers_needed(len(answers))
             # Daemons whose rows are missing may still know this one, and call it.
             may_be_called = not answers and loop.time() - alone_since < ALONE_S
-            if is_joined and self._row.is_known:
+            if is_joined and self._row.tells_departures:
                 self.is_heard.set()
             if self.is_heard.is_set() and is_enough and not may_be_called:
                 left = [run.instance for run in self._left]
--- a/hornbeamgw/daemon/directory.py
+++ b/hornbeamgw/daemon/directory.py
@@ -148,7 +148,8 @@
         own = self._control.view.me.address
         page = await self._rows.read(TABLE)
         self._control.note_era(page.era)
-        self._own_row.found(next((row for row in page.rows if row.key == own), None))
+        row = next((row for row in page.rows if row.key == own), None)
+        self._own_row.found(row, page.era)
         found = [member for member in decode_members(page) if member.address != own]
         self._own_row.report_findings(page)
         fields = {"daemons": len(found), "state": page.revision, "era": page.era}
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -112,7 +112,7 @@
         )
         self._own_row = own_row
         if own_row is not None:
-            self.control.on_era.append(lambda era: own_row.rewrite_after_restore())
+            self.control.on_era.append(own_row.rewrite_after_restore)
         directory = _directory(settings, self.control, platform, rng, own_row)
         self.reader = Reader(self.control, source, rng, directory)
         self.leader = _leader(settings, self.control, platform, source, self.rollouts, self.reader)
--- a/hornbeamgw/daemon/presence.py
+++ b/hornbeamgw/daemon/presence.py
@@ -9,9 +9,10 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable, Iterable, Sequence
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
 
@@ -41,6 +42,10 @@
 BACKOFF_MAX_S = 1.0
 MAX_SLOTS = 0xFFFF  # limit of the field in an encoded membership record
 MAX_SERVERS = 8
+# Era in the row of a daemon that has found none, or one from before a restore. Late heartbeats and
+# restarts follow departures within seconds, so after a while such a row tells as much as others.
+UNKNOWN_ERA = -1
+UNKNOWN_ERA_S = 60.0
 
 # Limits of the fields in encoded messages between daemons.
 _MAX_BY_FIELD = {
@@ -54,16 +59,22 @@
 
 
 class DirectoryEntry(NamedTuple):
-    """Content of a directory row: a daemon's record, its serving servers, and those that left."""
+    """Content of a directory row: a daemon's record, its serving servers, and those that left.
+
+    All departures that were acknowledged before are included if the store's present era is `era`;
+    if the store was restored from a backup since, later ones may be missing.
+    """
 
     member: Member
     servers: tuple[Announcement, ...] = ()
     left: LeftRuns = ()
+    era: int = 0
 
 
 class _LocalServers(TypedDict):
     servers: tuple[Announcement, ...]
     left: tuple[LeftRun, ...]
+    era: NotRequired[int]
 
 
 _decoder = msgspec.json.Decoder(tuple[Member, msgspec.Raw])
@@ -72,7 +83,9 @@
 
 def _encode(entry: DirectoryEntry) -> bytes:
     """Encode a row; its second part, which only its own daemon reads, is a list if none left."""
-    local = _LocalServers(servers=entry.servers, left=entry.left) if entry.left else entry.servers
+    local: _LocalServers | tuple[Announcement, ...] = entry.servers
+    if entry.left or entry.era:
+        local = _LocalServers(servers=entry.servers, left=entry.left, era=entry.era)
     return msgspec.json.encode((entry.member, local))
 
 
@@ -147,27 +160,56 @@
         # The servers of the row from before this start; None if they are not known.
         self.former_servers: tuple[Announcement, ...] | None = None
         self._lookup_done = asyncio.Event()
+        self._looked_up_at = -math.inf
+        # The store's era, and whether the row from before this start tells all departures.
+        self._era = 0
+        self._is_whole = True
         self._changed = asyncio.Event()
         self._written = asyncio.Event()
         # Revision of the stored row, 0 if there is none; None if a read has to tell.
         self._revision: int | None = None
 
     @property
-    def is_known(self) -> bool:
-        """Return whether the row from before this process's start is known."""
-        return self._lookup_done.is_set()
+    def tells_departures(self) -> bool:
+        """Return whether all departures that former processes have acknowledged are known.
+
+        That is not so before the row was read, nor if it is from before a restore of the store.
+        """
+        return self._lookup_done.is_set() and self._is_whole
 
-    def found(self, row: StoredRow | None) -> None:
-        """Set the stored row after a read of the directory; None if there is no row."""
-        if not self._lookup_done.is_set() and row is None:
+    def found(self, row: StoredRow | None, era: int = 0) -> None:
+        """Set the stored row after a read of the directory in an era; None if there is no row."""
+        self._era = max(self._era, era)
+        is_first = not self._lookup_done.is_set()
+        if is_first and row is None:
             self.former_servers = ()
             self._revision = 0
         if self._stored is None and row is not None:
             self._note_stored(row)
-            if not self._lookup_done.is_set() and self._stored is not None:
-                self.former_servers = self._stored.servers
+        if is_first:
+            self._note_former(row)
         self._lookup_done.set()
 
+    def _note_former(self, row: StoredRow | None) -> None:
+        """Determine what the row from before this process's start tells."""
+        self._looked_up_at = asyncio.get_running_loop().time()
+        stored = self._stored
+        row_era = 0 if row is None else UNKNOWN_ERA if stored is None else stored.era
+        self._is_whole = row_era >= self._era
+        if not self._is_whole:
+            self.former_servers = None
+            log.warning(
+                "this daemon's directory row may not tell which backend servers have left",
+                extra={"era": self._era, "row_era": row_era},
+            )
+        elif stored is not None:
+            self.former_servers = stored.servers
+
+    def _era_to_store(self) -> int:
+        now = asyncio.get_running_loop().time()
+        is_whole = self._is_whole or now - self._looked_up_at > UNKNOWN_ERA_S
+        return self._era if is_whole else UNKNOWN_ERA
+
     def _note_stored(self, row: StoredRow) -> None:
         """Set the stored row, and keep what it says of servers that have left."""
         self._revision = row.revision
@@ -186,7 +228,7 @@
     async def last_known(self) -> Sequence[Announcement]:
         """Return the servers that were stored before this daemon started."""
         await self._lookup_done.wait()
-        return () if self._stored is None else self._stored.servers
+        return self.former_servers or ()
 
     def set_servers(self, announcements: Iterable[Announcement]) -> None:
         """Set the servers to store; only those that are serving are included."""
@@ -206,8 +248,9 @@
         while self._stored is None or not departures.includes(self._stored.left, run):
             await self._written.wait()
 
-    def rewrite_after_restore(self) -> None:
+    def rewrite_after_restore(self, era: int = 0) -> None:
         """Write the row again if a store that was restored from a backup may have lost it."""
+        self._era = max(self._era, era)
         loop = asyncio.get_running_loop()
         if self._stored is None or loop.time() - self._stored_at > BACKUP_MAX_AGE_S:
             return
@@ -288,12 +331,13 @@
         key = self._me.address
         if self._revision is None:
             page = await self._rows.read(TABLE, key)
+            self._era = max(self._era, page.era)
             self._revision = 0
             for row in page.rows:
                 self._note_stored(row)
             if self._is_up_to_date():
                 return True
-        entry = DirectoryEntry(self._me, self._servers_to_store(), self.left)
+        entry = DirectoryEntry(self._me, self._servers_to_store(), self.left, self._era_to_store())
         revision = await self._rows.write(TABLE, key, _encode(entry), self._revision)
         if not revision:
             return False
@@ -306,7 +350,9 @@
 def _decode_entry(row: StoredRow) -> DirectoryEntry | None:
     try:
         local = decode_local_servers(row)
-        return DirectoryEntry(decode_member(row), local["servers"], local["left"])
+        return DirectoryEntry(
+            decode_member(row), local["servers"], local["left"], local.get("era", 0)
+        )
     except ValueError as error:
         log.warning(
             "this daemon's directory row is invalid; ignoring it",
