Bound what a backend server may send for one request

features/endless.feature has a server process that sends one of 18 forms at full speed, and calls to others meanwhile. Garbage, heads, chunk headers, trailers, and refusals were bounded by the parser already.

Cause: reading stopped only at the time of the request, or, for requests that were cut off, of its slot; nothing counted what was read, and a reader whose next event is there already never let others run.

Change: before an answer, 16 interim or foreign ones and 4 MB; a body whose framing exceeds it by 256 KB is none; after the deadline 48 MB of an answer with a length (8 MB without), as one that has begun is sent to its end; a connection that is idle is closed by its first byte; health checks read 64 KB and other clients 64 MB; after 64 events others have their turn. The connection is closed at once then, and the slot is held as for any request that was cut off.

--- /dev/null
+++ b/features/endless.feature
@@ -0,0 +1,46 @@
+Feature: Bytes without end from a backend server cost its caller an answer, and nobody else
+
+  Background:
+    Given a daemon beside a server that sends bytes without end
+
+  # Guards against bytes without end that occupy the daemon for as long as a request may take.
+  Scenario Outline: "<form>" without end
+    When a caller's request is answered with "<form>" without end
+    Then the caller has an answer or the end of the connection in time
+    And the connection to the server is closed soon after
+    And memory, processor and other calls are as bounded as they have to be
+
+    Examples:
+      | form                        |
+      | garbage                     |
+      | status line                 |
+      | head                        |
+      | interim answers             |
+      | answers to others           |
+      | body of an answer to others |
+      | body                        |
+      | body of a known length      |
+      | chunks                      |
+      | small chunks                |
+      | chunk header                |
+      | trailers                    |
+      | bytes after an answer       |
+      | answers after an answer     |
+      | bytes after a while         |
+      | body of a refusal           |
+      | body of a failure           |
+      | body without a signature    |
+
+  # Guards against a health check whose answer fills the memory.
+  Scenario Outline: A health check that is answered with "<form>" without end
+    When a health check of the server is answered with "<form>" without end
+    Then the server isn't taken for a healthy one
+    And the connection to the server is closed soon after
+    And memory, processor and other calls are as bounded as they have to be
+
+    Examples:
+      | form            |
+      | body            |
+      | small chunks    |
+      | interim answers |
+      | head            |
--- a/hornbeamgw/daemon/abandoned.py
+++ b/hornbeamgw/daemon/abandoned.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from hornbeamgw.core import former_work, occupancy
+from hornbeamgw.core import answer_limits, former_work, occupancy
 from hornbeamgw.core.admission import AdmissionState, AttemptId
 from hornbeamgw.core.occupancy import Outcome, SlotCheck
 from hornbeamgw.core.slots import CutRequest
@@ -24,17 +24,26 @@
 # During a hold only a prompt answer is of use, and a full server may never answer.
 HOLD_CHECK_TIMEOUT_S = 0.1
 HEALTHY_STATUS = 200
+MAX_CHECK_BYTES = 64 * 1024
 
 OnEnded = Callable[[bool], None]
 
 
 async def _is_answered(connection: HttpConnection) -> bool:
-    """Discard the rest of the input; return whether the answer was complete."""
+    """Discard the rest of the input; return whether the answer was complete.
+
+    It isn't if the server sends more than an answer can be.
+    """
+    skipped, received_before = 0, connection.received_bytes
     try:
         while True:
             event = await connection.next_event()
             if isinstance(event, h11.EndOfMessage):
                 return True
+            skipped += isinstance(event, h11.InformationalResponse)
+            received = connection.received_bytes - received_before
+            if answer_limits.problem_before_answer(skipped, received):
+                return False
             if isinstance(event, h11.ConnectionClosed | h11.PAUSED):
                 return False
     except (ConnectionLost, h11.ProtocolError):
@@ -216,7 +225,7 @@
 
     async def _status(self, health_path: str, timeout_s: float) -> int | None:
         """Return the status of the answer, None if there is none in time."""
-        client = HttpClient(self._pool.address, timeout_s)
+        client = HttpClient(self._pool.address, timeout_s, MAX_CHECK_BYTES)
         try:
             answer = await client.request("GET", health_path)
         except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError, ValueError) as error:
--- a/hornbeamgw/daemon/adoption.py
+++ b/hornbeamgw/daemon/adoption.py
@@ -24,6 +24,7 @@
 
 # Includes the wait for a slot if the server is busy. The check itself takes 6 ms.
 CHECK_TIMEOUT_S = 0.5
+MAX_CHECK_BYTES = 64 * 1024
 HEALTHY_STATUS = 200
 
 
@@ -53,7 +54,7 @@
 
         The result is None if the check fails, or if the instance leaves or is another one.
         """
-        client = HttpClient(known.address, CHECK_TIMEOUT_S)
+        client = HttpClient(known.address, CHECK_TIMEOUT_S, MAX_CHECK_BYTES)
         try:
             answer = await client.request("GET", health_path)
         except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError, ValueError) as error:
--- a/hornbeamgw/daemon/backend_pool.py
+++ b/hornbeamgw/daemon/backend_pool.py
@@ -74,6 +74,7 @@
             is_usable = now - idle_since <= min(
                 max_idle, self._max_idle_by_connection.get(connection, max_idle)
             )
+            connection.on_stray_input = None
             if is_usable and not connection.lost and not connection.has_input():
                 self._mark_reused(connection)
                 return connection
@@ -116,7 +117,7 @@
         self.opened_count += 1
         self._open.add(connection)
         self._unused.add(connection)
-        self._idle.append((connection, asyncio.get_running_loop().time()))
+        self._keep_idle(connection)
         return False
 
     def is_fresh(self, connection: HttpConnection) -> bool:
@@ -136,10 +137,19 @@
         is_complete = http.our_state is h11.DONE and http.their_state is h11.DONE
         if self.is_open and is_complete and not connection.lost and not connection.has_input():
             http.start_next_cycle()
-            self._idle.append((connection, asyncio.get_running_loop().time()))
+            self._keep_idle(connection)
         else:
             self.discard(connection)
 
+    def _keep_idle(self, connection: HttpConnection) -> None:
+        # A server that sends something now may go on without end.
+        connection.on_stray_input = lambda: self._discard_idle(connection)
+        self._idle.append((connection, asyncio.get_running_loop().time()))
+
+    def _discard_idle(self, connection: HttpConnection) -> None:
+        self._idle = [idle for idle in self._idle if idle[0] is not connection]
+        self.discard(connection)
+
     def retire(self, connection: HttpConnection) -> None:
         """Remove a half-closed connection once the server has closed its end, or after a while."""
         if connection.lost:
--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -15,6 +15,11 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_UNREAD_BYTES = 256 * 1024
+# Events that are returned one after the other before other tasks of the event loop may run.
+MAX_EVENTS_AT_ONCE = 64
+# Interim responses, which a server may send without end, before the response of a client's request.
+MAX_INTERIM_RESPONSES = 16
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # A response whose body keeps arriving may take up to this multiple of the timeout in total. 1 MB
 # takes 2.7 s at 3 Mbit/s.
 SLOW_BODY_FACTOR = 4
@@ -74,6 +79,8 @@
         Takes the input while requests behind the first one are unanswered.
     arrived_at : float or None
         Loop time in seconds at which the request's head was received; None if it is handled then.
+    received_bytes : int
+        Bytes that have arrived.
     requests_ahead, started_behind : int
         Number of unanswered requests ahead of the request when it arrived, and of those behind it
         that have started.
@@ -99,7 +106,11 @@
         self._on_open = on_open
         self._input_waiter: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
+        self.received_bytes = 0
+        # Called when bytes arrive that nobody waits for.
+        self.on_stray_input: Callable[[], None] | None = None
         self._unread_bytes = 0
+        self._events_at_once = 0
         self._paused = False
         self._discards_input = False
 
@@ -111,8 +122,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes to h11; pause reading if too many are unread."""
+        self.received_bytes += len(data)
         if self._discards_input:
             return
+        if self.on_stray_input is not None:
+            self.on_stray_input()
+            return
         if self.pipeline is not None:
             self.pipeline.receive_data(data)
             return
@@ -206,9 +221,14 @@
         bytes are invalid.
         """
         while True:
+            if self._events_at_once >= MAX_EVENTS_AT_ONCE:
+                self._events_at_once = 0
+                await asyncio.sleep(0)
             event = self.poll()
             if event is not None:
+                self._events_at_once += 1
                 return event
+            self._events_at_once = 0
             await self.wait_input()
 
     async def wait_input(self) -> None:
@@ -383,6 +403,7 @@
     headers: Headers,
     body: bytes,
     on_part: Callable[[], None],
+    max_bytes: int,
 ) -> Response:
     framing = [(b"content-length", str(len(body)).encode())]
     request = h11.Request(method=method, target=target, headers=[*headers, *framing])
@@ -391,14 +412,21 @@
         events.append(h11.Data(data=body))
     connection.send(*events, h11.EndOfMessage())
     chunks: list[bytes] = []
-    status, reply_headers = 0, Headers()
+    status, reply_headers, interim = 0, Headers(), 0
+    received_before = connection.received_bytes
     while True:
         event = await connection.next_event()
         if isinstance(event, h11.Response):
             status, reply_headers = event.status_code, normalise_headers(event.headers)
+        elif isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > MAX_INTERIM_RESPONSES:
+                raise h11.RemoteProtocolError("too many interim responses")
         elif isinstance(event, h11.Data):
             chunks.append(bytes(event.data))
             on_part()
+            if connection.received_bytes - received_before > max_bytes:
+                raise h11.RemoteProtocolError(f"a response of over {max_bytes} bytes")
         elif isinstance(event, h11.EndOfMessage):
             return Response(status, reply_headers, b"".join(chunks))
         elif isinstance(event, h11.ConnectionClosed):
@@ -408,10 +436,14 @@
 class HttpClient:
     """Client of one server with a pool of persistent connections."""
 
-    def __init__(self, address: str, timeout: float) -> None:
-        """Initialise with the server's address and the default timeout in seconds."""
+    def __init__(self, address: str, timeout: float, max_bytes: int = MAX_RESPONSE_BYTES) -> None:
+        """Initialise with the server's address and the default timeout in seconds.
+
+        Longer responses than `max_bytes` are refused.
+        """
         self.address = address
         self.timeout = timeout
+        self._max_bytes = max_bytes
         self._idle: list[HttpConnection] = []
 
     async def request(
@@ -443,7 +475,7 @@
                 if header(request_headers, b"host") is None:
                     request_headers.insert(0, (b"host", self.address.encode()))
                 response = await _exchange(
-                    connection, method, target, request_headers, body, on_part
+                    connection, method, target, request_headers, body, on_part, self._max_bytes
                 )
             except BaseException:
                 connection.abort()
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -159,6 +159,14 @@
                 attempt.link.send(frames.Credit(call.attempt, WINDOW_BYTES))
                 pump = asyncio.create_task(pump_body(attempt, connection))
             return await self._relay_reply(attempt, connection, sent)
+        except server_answer.EndlessAnswer as error:
+            self._counts["endless_answers"] += 1
+            log.warning(
+                "backend server sent more than an answer can be; closing its connection",
+                extra={"call_id": call.call_id, "why": str(error)},
+            )
+            connection.abort()
+            return may_have_run(Reason.BACKEND_BROKE, str(error))
         except (ConnectionLost, h11.ProtocolError, msgspec.MsgspecError) as error:
             self.crash_detector.record_lost(call.fingerprint)
             # A running server may close reused connections at any time.
@@ -218,7 +226,10 @@
         self, attempt: GateAttempt, connection: HttpConnection, sent: list[h11.Event]
     ) -> Failure | None:
         call_id = attempt.call.call_id
+        meter = server_answer.BodyMeter(connection, attempt.deadline)
         answer, skipped = await server_answer.next_head(connection, self._dialect, call_id, sent)
+        if skipped:
+            meter.restart()
         breaker.note_sound(self.breaker)
         self.crash_detector.note_sound()
         self._state.habits.alive_at = asyncio.get_running_loop().time()
@@ -266,13 +277,15 @@
         outgoing.window.available -= len(first)
         outgoing.progress.forwarded_bytes = len(first)
         outgoing.put(rest, end)
-        size = len(first) + len(rest)
+        loop = asyncio.get_running_loop()
+        meter.is_length_known = header(answer.headers, b"content-length") is not None
+        meter.count(body, loop.time())
         while not end:
             body, end = await server_answer.read_part(connection)
+            meter.count(body, loop.time())
             outgoing.put(body, end)
-            size += len(body)
             await outgoing.drain()
-        transfers.note_size(self._transfers, attempt.call.route, size)
+        transfers.note_size(self._transfers, attempt.call.route, meter.body_bytes)
         attempt.is_answer_due = False
         return None
 
