--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -47,6 +47,8 @@
 SERVER_RUNS = "features/server_runs.feature"
 DEPARTURES = "features/departures.feature"
 DEPARTURES_KEPT = "features/departures_kept.feature"
+ACKNOWLEDGEMENTS = "features/acknowledgements.feature"
+ENDLESS = "features/endless.feature"
 
 
 class Mutant(NamedTuple):
@@ -730,9 +732,90 @@
     Mutant(
         "a heartbeat isn't believed while nobody can tell what was acknowledged",
         "hornbeamgw/daemon/announcements.py",
-        (("        if self._must_verify(heartbeat):\n", "        if False:\n"),),
+        (("        if not self._may_have_left(heartbeat, arrival):\n", "        if True:\n"),),
         DEPARTURES,
     ),
+    Mutant(
+        "a health check isn't believed while the row can't be read",
+        "hornbeamgw/daemon/announcements.py",
+        (("return self._ledger.is_heard.is_set() and not", "return not"),),
+        ACKNOWLEDGEMENTS,
+    ),
+    Mutant(
+        "the first heartbeat on a connection doesn't count as sent since the start",
+        "hornbeamgw/core/freshness.py",
+        (("return arrival.answered_at >= moment or", "return arrival.at >= moment or"),),
+        ACKNOWLEDGEMENTS,
+    ),
+    Mutant(
+        "a heartbeat counts as sent since the start once none can be that late",
+        "hornbeamgw/core/freshness.py",
+        ((" or arrival.at > moment + MAX_LATENESS_S", ""),),
+        ACKNOWLEDGEMENTS,
+    ),
+    Mutant(
+        "a start in the future tells nothing",
+        "hornbeamgw/core/freshness.py",
+        ((" <= arrival.at_ms", ""),),
+        ACKNOWLEDGEMENTS,
+    ),
+    Mutant(
+        "a departure without a start binds a run that the row tells of",
+        "hornbeamgw/core/registration.py",
+        (
+            (
+                "    if may_be_left_run(state.known_runs_by_instance, heartbeat):\n        return",
+                "    if False:\n        return",
+            ),
+        ),
+        ACKNOWLEDGEMENTS,
+    ),
+    Mutant(
+        "a message that is acknowledged binds though others have overtaken it",
+        "hornbeamgw/daemon/announcements.py",
+        (
+            (
+                "            if run is not None:\n                self._on",
+                "            if False:\n                self._on",
+            ),
+        ),
+        ACKNOWLEDGEMENTS,
+    ),
+    Mutant(
+        "a row from before a restore doesn't tell all departures",
+        "hornbeamgw/daemon/presence.py",
+        (("        self._is_whole = row_era >= self._era\n", "        self._is_whole = True\n"),),
+        ACKNOWLEDGEMENTS,
+    ),
+    Mutant(
+        "answers to nothing or to others are limited",
+        "hornbeamgw/core/answer_limits.py",
+        (("    if skipped > MAX_SKIPPED_ANSWERS:", "    if False:"),),
+        ENDLESS,
+    ),
+    Mutant(
+        "the framing of an answer is limited",
+        "hornbeamgw/core/answer_limits.py",
+        (
+            (
+                "    if received_bytes - body_bytes > body_bytes + MAX_FRAMING_BYTES:",
+                "    if False:",
+            ),
+        ),
+        ENDLESS,
+    ),
+    Mutant(
+        "what an answer brings after the deadline is limited",
+        "hornbeamgw/core/answer_limits.py",
+        (("    if late_bytes > limit:", "    if False:"),),
+        ENDLESS,
+    ),
+    Mutant(
+        "an idle connection is closed when something arrives",
+        "hornbeamgw/daemon/backend_pool.py",
+        (("        connection.on_stray_input = lambda: self._discard_idle(connection)\n", ""),),
+        ENDLESS,
+    ),
     Mutant(
         "a later run of a server that left is taken at once",
         "hornbeamgw/core/registration.py",
