Ask a server once the row is read, whoever else is silent

What callers saw: after a loss of power of all machines, services were out of use for 1.5 s longer than before.

Cause: with the row read, all that was acknowledged is known, and a server may be asked; but it was asked only once the keepers had been heard as well, which waits for the view of daemons that are silent after such a loss (2 s).

Change: the row decides.

--- a/features/acknowledgements.feature
+++ b/features/acknowledgements.feature
@@ -114,3 +114,9 @@
     When all daemons are killed, the store comes back from the copy, and they start again
     And the server is heard twice on one connection
     Then A serves for it within 1 second
+
+  # Guards against servers that are out of use after a loss of power until silent daemons are given up.
+  Scenario: A new server is taken with its first message once the row is read, whoever is silent
+    When A is killed, and starts again with rows of daemons that don't answer
+    And another server at the address is heard
+    Then A serves for it within 1 second
--- a/features/steps/departures.py
+++ b/features/steps/departures.py
@@ -11,10 +11,11 @@
 
 from hornbeamgw.core import freshness
 from hornbeamgw.core.membership import ServerState, Status
-from hornbeamgw.daemon import plugins
+from hornbeamgw.daemon import plugins, presence
 from hornbeamgw.daemon.directory import TABLE
 from hornbeamgw.daemon.http1 import HttpClient, header
 from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
+from hornbeamgw.daemon.presence import DirectoryEntry
 from hornbeamgw.testing.local import LocalFleet, wait_for
 from hornbeamgw.testing.store import LATE, LOSE_ANSWER, OUTAGE, StandInStore
 
@@ -46,6 +47,7 @@
         self.http = HttpServer(self._answer, Timeouts())
         self.address, self.started_ms, self.sequence = "", STARTED_MS, 0
         self.is_leaving, self.runs, self.declared = False, 0, []
+        self.name = b"i-1"
         self.does_check_lie = False
         self.may_answer_check = asyncio.Event()
         self.may_answer_check.set()
@@ -53,7 +55,7 @@
 
     async def _answer(self, connection, request):
         await read_body(connection, 100)
-        headers = [(b"x-instance-id", b"i-1"), *self.declared]
+        headers = [(b"x-instance-id", self.name), *self.declared]
         if request.target == b"/healthz":
             self.checks += 1
             status = 503 if self.is_leaving and not self.does_check_lie else 200
@@ -367,6 +369,40 @@
     context.runner.run(run())
 
 
+async def add_silent_daemons(context):
+    """Store rows of daemons whose connections open and bring nothing."""
+    member = context.a.control.view.me
+    for _ in range(4):
+        silent = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+
+        async def close(silent=silent):
+            silent.close()
+
+        context.closers.append(close)
+        host, port = silent.sockets[0].getsockname()
+        address = f"{host}:{port}"
+        entry = DirectoryEntry(member._replace(address=address, incarnation=1))
+        context.store.put(TABLE, address, presence._encode(entry))
+
+
+@when("A is killed, and starts again with rows of daemons that don't answer")
+def starts_among_silent(context):
+    async def run():
+        address = await kill(context)
+        for name in ("B", "C"):
+            await end_daemon(context, context.daemon_by_name.pop(name))
+        await add_silent_daemons(context)
+        await start_again(context, address)
+
+    context.runner.run(run())
+
+
+@when("another server at the address is heard")
+def another_heard(context):
+    context.server.name = b"i-2"
+    context.runner.run(tell(context, "PUT", context.server.heartbeat(), "i-2"))
+
+
 @when("A is killed, and was started a while ago")
 def started_long_ago(context):
     killed(context)
--- a/hornbeamgw/daemon/announcements.py
+++ b/hornbeamgw/daemon/announcements.py
@@ -241,7 +241,7 @@
         """
         assert self._ledger is not None
         is_unclear = registration.may_be_left_run(self._known_runs_by_instance, heartbeat)
-        return self._ledger.is_heard.is_set() and not is_unclear
+        return self._ledger.knows_acknowledged and not is_unclear
 
     async def _is_healthy(self, heartbeat: Heartbeat, health_path: str) -> bool:
         assert self._adoption is not None
--- a/hornbeamgw/daemon/departures/ledger.py
+++ b/hornbeamgw/daemon/departures/ledger.py
@@ -63,6 +63,11 @@
             self.is_complete.set()
             self.is_heard.set()
 
+    @property
+    def knows_acknowledged(self) -> bool:
+        """Return whether all departures are known that former processes have acknowledged."""
+        return self._row.tells_departures
+
     async def wait_heard(self) -> None:
         """Wait until the row and the keepers have told what they know, or for a short time."""
         await _wait(self.is_heard, RECALL_TIMEOUT_S)
