List a soak of servers that get one address in turn as known red

Besides, two mutants of the limits on a server's bytes went unnoticed: what can't become an answer must be given up early, and an idle connection must close with nobody else asking, which are scenarios now.

--- a/features/endless.feature
+++ b/features/endless.feature
@@ -31,6 +31,22 @@
       | body of a failure           |
       | body without a signature    |
 
+  # Guards against what can't become an answer, but is read until the time of the request is over.
+  Scenario Outline: "<form>" without end are given up before the time of the request is over
+    When a caller's request is answered with "<form>" without end
+    Then the daemon has used less than 0.3 s of the processor
+
+    Examples:
+      | form                        |
+      | interim answers             |
+      | answers to others           |
+      | body of an answer to others |
+
+  # Guards against an idle connection whose bytes stay unread until it is used again.
+  Scenario: Bytes without end on an idle connection close it at once
+    When a caller's request is answered with "bytes after a while" without end, and nobody else asks
+    Then the connection to the server is closed soon after
+
   # Guards against a health check whose answer fills the memory.
   Scenario Outline: A health check that is answered with "<form>" without end
     When a health check of the server is answered with "<form>" without end
--- a/features/server_runs.feature
+++ b/features/server_runs.feature
@@ -88,3 +88,8 @@
   Scenario: Whatever becomes of the servers at an address, each request is for the one that runs it
     When servers of two services get an address in turn with fixed seeds
     Then each ran only what was for it, and each request was answered once, truthfully
+
+  @known_red
+  Scenario: Nor is a server that runs taken for replaced, in any of a hundred seeds
+    When servers of two services get an address in turn with seeds 1 to 100
+    Then each ran only what was for it, and each request was answered once, truthfully
--- a/features/steps/endless.py
+++ b/features/steps/endless.py
@@ -132,9 +132,9 @@
         await asyncio.sleep(OTHERS_INTERVAL_S)
 
 
-async def measure(context, form, request):
+async def measure(context, form, request, do_others_ask=True):
     others, before = [], resident_bytes()
-    asking = asyncio.create_task(ask_others(context, others))
+    asking = asyncio.create_task(ask_others(context, others) if do_others_ask else asyncio.sleep(0))
     await asyncio.sleep(OTHERS_INTERVAL_S)
     peak = before
 
@@ -183,7 +183,18 @@
     assert measured.growth_bytes < MAX_GROWTH_BYTES, measured
     assert measured.processor_s < MAX_PROCESSOR_S, measured
     assert all(status == 200 for status, _ in measured.others), measured
-    assert max(took_s for _, took_s in measured.others) < OTHERS_S, measured
+    assert max((took_s for _, took_s in measured.others), default=0.0) < OTHERS_S, measured
+
+
+@when('a caller\'s request is answered with "{form}" without end, and nobody else asks')
+def asks_alone(context, form):
+    request = call(context, form.replace(" ", "-"), TIMEOUT_MS)
+    context.measured = context.runner.run(measure(context, form, request, False))
+
+
+@then("the daemon has used less than {limit:g} s of the processor")
+def processor_below(context, limit):
+    assert context.measured.processor_s < limit, context.measured
 
 
 @when('a health check of the server is answered with "{form}" without end')
--- a/features/steps/server_runs.py
+++ b/features/steps/server_runs.py
@@ -322,11 +322,20 @@
 
 @when("servers of two services get an address in turn with fixed seeds")
 def in_turn(context):
-    context.soaks = server_runs_soak.play(SEEDS)
+    context.seeds, context.soaks = SEEDS, server_runs_soak.play(SEEDS)
+
+
+@when("servers of two services get an address in turn with seeds {first:d} to {last:d}")
+def in_turn_with_seeds(context, first, last):
+    context.seeds, context.soaks = range(first, last + 1), []
+    at_once = server_runs_soak.SEEDS_AT_ONCE
+    for start in range(0, len(context.seeds), at_once):
+        context.soaks += server_runs_soak.play(context.seeds[start : start + at_once])
 
 
 @then("each ran only what was for it, and each request was answered once, truthfully")
 def each_for_it(context):
-    broken = {seed: s.broken[:3] for seed, s in zip(SEEDS, context.soaks, strict=True) if s.broken}
+    played = zip(context.seeds, context.soaks, strict=True)
+    broken = {seed: soak.broken[:3] for seed, soak in played if soak.broken}
     assert not broken, broken
     assert all(soak.counts["ran"] > 20 for soak in context.soaks)
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -738,7 +738,7 @@
     Mutant(
         "a health check isn't believed while the row can't be read",
         "hornbeamgw/daemon/announcements.py",
-        (("return self._ledger.is_heard.is_set() and not", "return not"),),
+        (("return self._ledger.knows_acknowledged and not", "return not"),),
         ACKNOWLEDGEMENTS,
     ),
     Mutant(
@@ -790,7 +790,10 @@
     Mutant(
         "answers to nothing or to others are limited",
         "hornbeamgw/core/answer_limits.py",
-        (("    if skipped > MAX_SKIPPED_ANSWERS:", "    if False:"),),
+        (
+            ("    if skipped > MAX_SKIPPED_ANSWERS:", "    if False:"),
+            ("    if received_bytes > MAX_SKIPPED_BYTES:", "    if False:"),
+        ),
         ENDLESS,
     ),
     Mutant(
