--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
 from pathlib import Path
 from typing import Any
@@ -92,17 +91,9 @@
     return 2 if not by_old and not by_new else int(bool(by_old))
 
 
-async def main() -> int:
-    """Run the case; return the exit code."""
-    record = rig.Record(FOLDER / "record.txt")
-    deployment = rig.Rig(record, BOUNDS, {"a": "fj", "b": "fj", "c": "fj"})
-    try:
-        return await play(deployment, os.environ.get("TROUBLE") != "0")
-    except Exception as error:
-        record.say(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        deployment.close()
+def create(record: rig.Record) -> rig.Rig:
+    """Return the deployment."""
+    return rig.Rig(record, BOUNDS, {"a": "fj", "b": "fj", "c": "fj"})
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(rig.run_case(FOLDER, create, play))
--- a/review/common2/rig.py
+++ b/review/common2/rig.py
@@ -19,8 +19,9 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 ROOT = Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
@@ -31,8 +32,11 @@
 from hornbeamgw.testing.template import render  # noqa: E402
 
 HEARTBEAT_S = 1.5
+METRICS_PORT = 9464
 HOST = "desk.example"
 
+RigType = TypeVar("RigType", bound="Rig")
+
 
 def free_port(host: str) -> int:
     """Return a port of a loopback address that is free for TCP and UDP."""
@@ -47,6 +51,18 @@
             return port
 
 
+def free_octet() -> int:
+    """Return the second number of loopback addresses at which the port for metrics is free."""
+    while True:
+        octet = random.randrange(16, 250)
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{octet}.0.10", METRICS_PORT))
+            except OSError:
+                continue
+            return octet
+
+
 class Record:
     """The file with what was sent, answered and run; times are in seconds from its start."""
 
@@ -169,6 +185,7 @@
     body: bytes = b"",
     host: str = HOST,
     more: dict[str, str] | None = None,
+    patience_s: float = 0.0,
 ) -> Answer:
     """Send one request on a new connection, as a client does that leaves at its deadline."""
     head = [f"{method} {path} HTTP/1.1", f"Host: {host}", f"X-Request-Id: {request_id}"]
@@ -177,7 +194,7 @@
         head.append(f"Content-Length: {len(body)}")
     writer: asyncio.StreamWriter | None = None
     try:
-        async with asyncio.timeout(timeout_ms / 1000):
+        async with asyncio.timeout(timeout_ms / 1000 + patience_s):
             ip, _, port = address.rpartition(":")
             reader, writer = await asyncio.open_connection(ip, int(port))
             writer.write("\r\n".join([*head, "", ""]).encode() + body)
@@ -414,7 +431,7 @@
         self.record, self.bounds, self.zones = record, bounds, zones
         self.is_first_start = is_first_start
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.octet = random.randrange(64, 120)
+        self.octet = free_octet()
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
         self.role = next(iter(deploy["roles"].values()))
         self.store = StandInStore()
@@ -533,3 +550,29 @@
     """Return the rows of the store."""
     rows = rig.store.rows_by_table_and_key.values()
     return [(row.table, row.key, base64.b64decode(row.value)) for row in rows]
+
+
+def run_case(
+    folder: Path,
+    create: Callable[[Record], RigType],
+    play: Callable[[RigType, bool], Awaitable[int]],
+) -> int:
+    """Play a case and end all that it started; return the exit code of its script."""
+
+    async def run() -> int:
+        record = Record(folder / "record.txt")
+        deployment = create(record)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        try:
+            return await play(deployment, os.environ.get("TROUBLE") != "0")
+        except (Exception, asyncio.CancelledError) as error:
+            record.say(f"the case could not run: {error!r}")
+            return 2
+        finally:
+            deployment.close()
+            await asyncio.sleep(0.1)
+
+    return asyncio.run(run())
