--- a/review/common2/rig.py
+++ b/review/common2/rig.py
@@ -38,16 +38,22 @@
 RigType = TypeVar("RigType", bound="Rig")
 
 
+_chosen_ports: set[int] = set()
+
+
 def free_port(host: str) -> int:
-    """Return a port of a loopback address that is free for TCP and UDP."""
+    """Return a port of a loopback address that is free for TCP and UDP, a new one each time."""
     while True:
         port = random.randrange(20_000, 32_000)
+        if port in _chosen_ports:
+            continue
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
             try:
                 tcp.bind((host, port))
                 udp.bind((host, port))
             except OSError:
                 continue
+            _chosen_ports.add(port)
             return port
 
 
