Tell which open connection is silent, since when, and what was sent into it

On-call engineers saw "platform unavailable; retrying" and a count of doubted links; no line named the connection, its age or its silence, so two hypotheses on a configuration that came late after the store connections went silent could not be told apart: readers that wait for each other to push, or readers that wait on one silent connection after the other.

core/silence.py keeps the signs of life of a connection (opened, heard, unanswered since). Links and the client of the store report a connection whose answer is overdue in one line, with its peer, its ages and what was sent into it, and hornbeamgw_connections_total counts them and the dialled ones. Nothing is decided by them yet.

--- a/hornbeamgw/daemon/abandoned.py
+++ b/hornbeamgw/daemon/abandoned.py
@@ -15,6 +15,7 @@
 from hornbeamgw.core.slots import CutRequest
 from hornbeamgw.daemon.backend_pool import BackendPool
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, HttpConnection
+from hornbeamgw.daemon.silence import Kind
 
 log = logging.getLogger(__name__)
 
@@ -225,7 +226,7 @@
 
     async def _status(self, health_path: str, timeout_s: float) -> int | None:
         """Return the status of the answer, None if there is none in time."""
-        client = HttpClient(self._pool.address, timeout_s, MAX_CHECK_BYTES)
+        client = HttpClient(self._pool.address, timeout_s, MAX_CHECK_BYTES, Kind.SERVER)
         try:
             answer = await client.request("GET", health_path)
         except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError, ValueError) as error:
--- a/hornbeamgw/daemon/admin.py
+++ b/hornbeamgw/daemon/admin.py
@@ -34,6 +34,7 @@
 from hornbeamgw.daemon.quarantine import Quarantine
 from hornbeamgw.daemon.reader import Reader
 from hornbeamgw.daemon.rollouts import Rollouts
+from hornbeamgw.daemon.silence import connection_counts
 
 if TYPE_CHECKING:
     from hornbeamgw.daemon.committer import Committer
@@ -142,6 +143,7 @@
             *exposition.counters("quarantine", self._quarantine.counts),
             *exposition.counters("rollouts", self._rollouts.counts),
             *exposition.counters("quotas", self.quota_counts),
+            *exposition.counters("connections", connection_counts),
             exposition.gauge("quarantined", len(self._quarantine.state.periods_by_fingerprint)),
             *exposition.counters("control_bytes_in", meter.bytes_in),
             *exposition.counters("control_bytes_out", meter.bytes_out),
--- a/hornbeamgw/daemon/adoption.py
+++ b/hornbeamgw/daemon/adoption.py
@@ -19,6 +19,7 @@
 from hornbeamgw.core.registration import Announcement
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient, header
 from hornbeamgw.daemon.presence import OwnRow
+from hornbeamgw.daemon.silence import Kind
 
 log = logging.getLogger(__name__)
 
@@ -54,7 +55,7 @@
 
         The result is None if the check fails, or if the instance leaves or is another one.
         """
-        client = HttpClient(known.address, CHECK_TIMEOUT_S, MAX_CHECK_BYTES)
+        client = HttpClient(known.address, CHECK_TIMEOUT_S, MAX_CHECK_BYTES, Kind.SERVER)
         try:
             answer = await client.request("GET", health_path)
         except (OSError, TimeoutError, ConnectionLost, h11.ProtocolError, ValueError) as error:
--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -11,7 +11,10 @@
 
 import h11
 
+from hornbeamgw.core import silence
 from hornbeamgw.core.options import split_address
+from hornbeamgw.core.silence import Signs
+from hornbeamgw.daemon.silence import Kind, connection_counts, report_silent
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_UNREAD_BYTES = 256 * 1024
@@ -436,15 +439,23 @@
 class HttpClient:
     """Client of one server with a pool of persistent connections."""
 
-    def __init__(self, address: str, timeout: float, max_bytes: int = MAX_RESPONSE_BYTES) -> None:
+    def __init__(
+        self,
+        address: str,
+        timeout: float,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+        kind: Kind = Kind.STORE,
+    ) -> None:
         """Initialise with the server's address and the default timeout in seconds.
 
-        Longer responses than `max_bytes` are refused.
+        Longer responses than `max_bytes` are refused. The connections are reported as of `kind`.
         """
         self.address = address
         self.timeout = timeout
         self._max_bytes = max_bytes
+        self._kind = kind
         self._idle: list[HttpConnection] = []
+        self._signs_by_connection: dict[HttpConnection, Signs] = {}
 
     async def request(
         self,
@@ -470,6 +481,9 @@
                 limit.reschedule(max(due, limit.when() or due))
 
             connection = await self._acquire()
+            signs = self._signs_by_connection.pop(connection, None) or Signs(loop.time())
+            is_reused, received_before = signs.heard_at > signs.opened_at, connection.received_bytes
+            silence.note_sent(signs, loop.time())
             try:
                 request_headers = list(headers or [])
                 if header(request_headers, b"host") is None:
@@ -478,23 +492,33 @@
                     connection, method, target, request_headers, body, on_part, self._max_bytes
                 )
             except BaseException:
+                is_silent = limit.expired() and connection.received_bytes == received_before
+                if is_reused and is_silent:
+                    self._on_silent(signs, f"{method} {target}", loop.time())
                 connection.abort()
                 raise
-        self._release(connection)
+        silence.note_heard(signs, loop.time())
+        self._release(connection, signs)
         return response
 
+    def _on_silent(self, signs: Signs, sent: str, now: float) -> None:
+        report_silent(self._kind, self.address, signs, sent, "closed", now)
+
     async def _acquire(self) -> HttpConnection:
         while self._idle:
             connection = self._idle.pop()
             if not connection.lost and connection.poll() is None:
                 return connection
+            self._signs_by_connection.pop(connection, None)
             connection.close()
+        connection_counts[f"{self._kind}.dialled"] += 1
         return await dial(self.address)
 
-    def _release(self, connection: HttpConnection) -> None:
+    def _release(self, connection: HttpConnection, signs: Signs) -> None:
         if connection.http.our_state is h11.DONE and connection.http.their_state is h11.DONE:
             connection.http.start_next_cycle()
             self._idle.append(connection)
+            self._signs_by_connection[connection] = signs
         else:
             connection.close()
 
@@ -503,3 +527,4 @@
         for connection in self._idle:
             connection.close()
         self._idle.clear()
+        self._signs_by_connection.clear()
--- a/hornbeamgw/daemon/link.py
+++ b/hornbeamgw/daemon/link.py
@@ -7,10 +7,13 @@
 from collections.abc import Callable
 from typing import NamedTuple, cast
 
+from hornbeamgw.core import silence
 from hornbeamgw.core.options import split_address
+from hornbeamgw.core.silence import Signs
 from hornbeamgw.daemon import codec, frames
 from hornbeamgw.daemon.compression import Compressor, Decompressor
 from hornbeamgw.daemon.containment import log_contained
+from hornbeamgw.daemon.silence import Kind, report_silent
 
 # Heartbeats are answered within milliseconds, and TCP retransmits a lost packet after 0.2 s. A link
 # becomes suspect only after more than one retransmission.
@@ -52,8 +55,11 @@
         self.lost = False
         self.ack_received = False
         self.received_at = 0.0
+        self.kind = Kind.LINK
+        self.signs = Signs(0.0)
         self.bytes_in = 0
         self.bytes_out = 0
+        self._bytes_out_when_heard = 0
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._on_fault = on_fault
@@ -69,6 +75,7 @@
         """Store the transport and send the hello."""
         self.transport = cast(asyncio.Transport, transport)
         self.received_at = asyncio.get_running_loop().time()
+        self.signs = Signs(self.received_at)
         self.send(self.hello)
 
     def send(self, frame: frames.Frame) -> None:
@@ -106,6 +113,8 @@
     def data_received(self, data: bytes) -> None:
         """Split received bytes into frames; close the link on an invalid one."""
         self.received_at = asyncio.get_running_loop().time()
+        silence.note_heard(self.signs, self.received_at)
+        self._bytes_out_when_heard = self.bytes_out
         self.bytes_in += len(data)
         self._buffer += data
         try:
@@ -179,10 +188,18 @@
         idle = now - self.received_at
         if idle >= LOST_AFTER_IDLE_S:
             self._on_fault("silent link")
+            self.report_silent("closed", now)
             self.abort()
         elif idle >= HEARTBEAT_AFTER_IDLE_S:
+            silence.note_sent(self.signs, now)
             self.send(frames.Heartbeat(True))
 
+    def report_silent(self, outcome: str, now: float) -> None:
+        """Count and log that the link is silent, and what is done about it."""
+        peer = self.peer.member if self.peer is not None else ""
+        sent = f"{self.bytes_out - self._bytes_out_when_heard} bytes"
+        report_silent(self.kind, peer, self.signs, sent, outcome, now)
+
     def connection_lost(self, error: Exception | None) -> None:
         """Report the loss of the link, unless this has been done."""
         self._end()
--- a/hornbeamgw/daemon/peers.py
+++ b/hornbeamgw/daemon/peers.py
@@ -14,6 +14,7 @@
 from hornbeamgw.daemon.gates import Gates
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.reader import Reader
+from hornbeamgw.daemon.silence import Kind
 
 ACK_POLL_INTERVAL_S = 0.01
 MAX_PORT_ATTEMPTS = 20
@@ -101,6 +102,7 @@
 
     def _accept(self) -> Link:
         link = Link(self._control.hello, self._on_frame, self._on_lost, self._control.record_fault)
+        link.kind = Kind.ACCEPTED_LINK
         link.remote_byte_counts = self._control.meter.remote_byte_counts
         self.links.add(link)
         return link
