Verify a link between daemons before it is used after a silence

Cause: a link was checked only while a request waited on it, and each request that was alone at its server began the time until the link counts as lost (1.2 s) anew. A request with a deadline of less ended before that, and nothing remembered its unanswered heartbeats.

Change: the time counts from the first unanswered probe, and outlives the request. A link that has not been heard for 2.5 s is probed before a request is sent into it; if the answer takes more than 0.1 s, a new link is opened beside it, and the first that shows a sign of life is used. A link that was replaced and still owes its answer after 0.35 s is silent: links that have not been heard since are probed before their next use, and its requests are asked for on the new link ("never admitted" lets them be sent again). A link that carries nothing is neither checked nor probed. Bytes that leave a full link, and a time in which this daemon itself stood still, begin the wait anew. Where the new link gets no answer either, its peer may stand still: the request goes to another server, or else into the open link as before, and no further link is opened for a second. All of it is counted.

--- /dev/null
+++ b/features/silent_links.feature
@@ -0,0 +1,59 @@
+Feature: Links between daemons that have gone silent cost callers little, and calm days nothing
+
+  Background:
+    Given daemons A and B, the roster server beside B
+    And all links from A to B pass through a network that can silence the open ones
+
+  # Guards against a booking that is sent into a link that has been silent, and ends with 504.
+  Scenario Outline: A booking after a silence does not depend on the link that went silent
+    Given the link from A to B has carried a booking
+    When the open links go silent "<direction>", and nothing is sent for <idle> seconds
+    And a caller of A makes 3 bookings with a deadline of 600 ms, one after the other
+    Then all of them are served, and each ran once
+    And A has told which peer was silent, for how long, and what was sent into it
+
+    Examples:
+      | direction | idle |
+      | both      | 3.0  |
+      | there     | 3.0  |
+      | back      | 3.0  |
+
+  # Guards against nothing remembering that a link was silent when its requests have ended.
+  Scenario Outline: Soon after the last answer one booking at most pays for a link that went silent
+    Given the link from A to B has carried a booking
+    When the open links go silent "<direction>", and nothing is sent for 0.5 seconds
+    And a caller of A makes 4 bookings with a deadline of 300 ms, 2 seconds apart
+    Then all of them but <lost> are served, and none ran twice
+
+    Examples:
+      | direction | lost |
+      | both      | 1    |
+      | there     | 1    |
+      | back      | 1    |
+
+  # Guards against a booking that never arrived and is told "may have run" though a new link works.
+  Scenario: A booking that never arrived is sent again on a new link
+    Given the link from A to B has carried a booking
+    When the open links go silent "there", and nothing is sent for 0.2 seconds
+    And a caller of A makes 1 bookings with a deadline of 1000 ms, one after the other
+    Then all of them are served, and each ran once
+
+  # Guards against a daemon that stands still, is taken for a silent link, and loses its calls.
+  Scenario: A daemon that stands still keeps its link
+    Given the link from A to B has carried a booking
+    When nothing is sent for 3 seconds, and B stands still for 0.9 seconds under a booking
+    Then the booking is answered on the link from before
+    And at most 2 links were opened meanwhile
+
+  # Guards against heartbeats on links that carry nothing.
+  Scenario: A link that carries nothing costs no byte
+    Given the link from A to B has carried a booking
+    When nothing is sent for 4 seconds
+    Then neither end of the link has sent a byte
+
+  # Guards against a link that is full and taken for silent.
+  Scenario: A link whose unsent bytes leave slowly is not silent
+    When a link owes an answer for 5 seconds while what is unsent leaves slowly
+    Then it is not closed
+    When nothing of it leaves any more
+    Then it is closed within 1.3 seconds
--- a/hornbeamgw/daemon/attempts.py
+++ b/hornbeamgw/daemon/attempts.py
@@ -14,17 +14,15 @@
 from hornbeamgw.core.verdict import Failure, Reason, may_have_run, not_run
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.flow import Mailbox, Window
-from hornbeamgw.daemon.link import SUSPECT_AFTER_IDLE_S, Link, LinkLost, dial, exchange
+from hornbeamgw.daemon.link import PROBE_AFTER_IDLE_S, Link, LinkLost, dial, exchange
 from hornbeamgw.daemon.outgoing import BUFFER_BYTES
 from hornbeamgw.daemon.outlooks import OutlookQueries
+from hornbeamgw.daemon.silence.link_pool import LinkPool
 
 log = logging.getLogger(__name__)
 
 # Covers two round trips between data centres, and leaves time for an attempt at another server.
 DIAL_TIMEOUT_S = 0.2
-# Time between two checks of the links after which this daemon counts as having stalled, for example
-# because its VM was suspended. It is shorter than the time after which a silent link is suspect.
-STALL_S = 0.25
 RESOLVE_TIMEOUT_S = 1.0
 RESOLVE_TIMEOUT_MIN_S = 0.05
 
@@ -37,6 +35,10 @@
     """The link of an attempt has received nothing for a while; an answer may still arrive."""
 
 
+class LinkReplaced(NamedTuple):
+    """The link of an attempt is silent, and its peer has answered on a new one."""
+
+
 class CallerGone(NamedTuple):
     """The caller has closed its connection."""
 
@@ -55,6 +57,7 @@
     | frames.Refusal
     | LinkGone
     | LinkSilent
+    | LinkReplaced
     | CallerGone
     | DeadlineExpired
     | DaemonStopping
@@ -135,47 +138,28 @@
         self.outlooks = OutlookQueries()
         self._hello = hello
         self._on_fault = on_fault
-        self._links_by_address: dict[str, Link] = {}
-        self._dialling_by_address: dict[str, asyncio.Task[Link]] = {}
+        self._pool = LinkPool(self._dial, on_fault, self._on_replaced)
         self._attempts_by_number: dict[int, Attempt] = {}
         self._lost_by_address: dict[str, LostWork] = {}
         self._next_number = 0
-        self._checked_at = math.inf
 
     async def link_to(self, address: str) -> Link:
-        """Return the link to a daemon, opening it if necessary; raise LinkLost if that fails."""
-        link = self._links_by_address.get(address)
-        if link is not None and not link.lost:
-            return link
-        task = self._dialling_by_address.get(address) or self._begin_dial(address)
-        return await asyncio.shield(task)
+        """Return a link to a daemon that can be believed; raise LinkLost if there is none.
+
+        Raise LinkUnanswered if the open link is silent and a new one gets no answer either.
+        """
+        return await self._pool.link_to(address)
 
     def link_if_open(self, address: str) -> Link | None:
         """Return the link to a daemon if it is open; otherwise start to open it."""
-        link = self._links_by_address.get(address)
-        if link is not None and not link.lost:
-            return link
-        if address not in self._dialling_by_address:
-            self._begin_dial(address)
-        return None
-
-    def _begin_dial(self, address: str) -> asyncio.Task[Link]:
-        task = asyncio.create_task(self._dial(address))
-        self._dialling_by_address[address] = task
-        task.add_done_callback(lambda done: self._on_dialled(address, done))
-        return task
+        return self._pool.link_if_open(address)
 
     async def _dial(self, address: str) -> Link:
-        return await dial(
+        link = await dial(
             address, self._hello(), self._on_frame, self._on_lost, self._on_fault, DIAL_TIMEOUT_S
         )
-
-    def _on_dialled(self, address: str, task: asyncio.Task[Link]) -> None:
-        self._dialling_by_address.pop(address, None)
-        if not task.cancelled() and task.exception() is None:
-            link = task.result()
-            link.remote_byte_counts = self._remote_byte_counts
-            self._links_by_address[address] = link
+        link.remote_byte_counts = self._remote_byte_counts
+        return link
 
     def start(
         self,
@@ -194,8 +178,6 @@
         self._next_number += 1
         attempt = Attempt(self._next_number, link, load, now, idempotent, server, typical)
         self._attempts_by_number[attempt.number] = attempt
-        if load.outstanding == 0:
-            link.restart_idle_timer(now)
         load.outstanding += 1
         return attempt
 
@@ -254,23 +236,20 @@
         return math.ceil(1000 * (lost.until - now))
 
     def check(self, now: float) -> None:
-        """Check the links with open attempts for silence.
+        """Check the links that owe an answer for silence; probe those on which attempts wait.
 
         Call this several times per STALL_S.
         """
-        stalled = now - self._checked_at
-        self._checked_at = now
-        if stalled > STALL_S:
-            for link in self._links_by_address.values():
-                link.exclude_stall(stalled, now)
-        waiting = {attempt.link for attempt in self._attempts_by_number.values()}
-        for link in list(self._links_by_address.values()):
-            if link.lost:
-                continue
-            if link in waiting:
-                link.check_liveness(now)
-                if now - link.received_at >= SUSPECT_AFTER_IDLE_S:
-                    self._on_link_silent(link, now)
+        earliest_start_by_link: dict[Link, float] = {}
+        for attempt in self._attempts_by_number.values():
+            start = earliest_start_by_link.get(attempt.link, attempt.started)
+            earliest_start_by_link[attempt.link] = min(start, attempt.started)
+        for link, start in earliest_start_by_link.items():
+            idle_since = max(start, link.signs.heard_at)
+            if not link.lost and now - idle_since >= PROBE_AFTER_IDLE_S:
+                self._pool.probe(link, now)
+        for link in self._pool.check(now, earliest_start_by_link):
+            self._on_link_silent(link, now)
 
     def _on_link_silent(self, link: Link, now: float) -> None:
         """Avoid the servers behind a silent link, and let idempotent attempts fail over."""
@@ -281,6 +260,11 @@
                 if attempt.idempotent and not attempt.answered:
                     attempt.events.put(LinkSilent())
 
+    def _on_replaced(self, link: Link) -> None:
+        for attempt in self._attempts_by_number.values():
+            if attempt.link is link and not attempt.answered:
+                attempt.events.put(LinkReplaced())
+
     async def resolve(
         self, address: str, attempt: Attempt, now: float, remaining: float = RESOLVE_TIMEOUT_S
     ) -> Failure:
@@ -308,5 +292,4 @@
 
     def close(self) -> None:
         """Close every link."""
-        for link in self._links_by_address.values():
-            link.close()
+        self._pool.close()
--- a/hornbeamgw/daemon/calls.py
+++ b/hornbeamgw/daemon/calls.py
@@ -47,7 +47,9 @@
     CallerGone,
     DaemonStopping,
     DeadlineExpired,
+    Event,
     LinkGone,
+    LinkReplaced,
     Links,
     LinkSilent,
 )
@@ -78,6 +80,7 @@
 from hornbeamgw.daemon.request_body import read_body, send_continue
 from hornbeamgw.daemon.server_answer import SERVER_ERROR
 from hornbeamgw.daemon.servers import Servers
+from hornbeamgw.daemon.silence.link_pool import LinkUnanswered
 
 if TYPE_CHECKING:
     from hornbeamgw.daemon.organisation_use import OrganisationUse
@@ -96,6 +99,8 @@
 STOPPING_RETRY_MS = 20
 # Allows one round trip between data centres for the answer to a cancel frame.
 CANCEL_TIMEOUT_S = 0.1
+# Time in which a daemon answers on a new link whether it has admitted a request.
+QUESTION_TIMEOUT_S = 0.2
 MAX_RETRY_BUDGET = 10
 # Servers that are at their rate limits are full for a known time, and others may be idle.
 MAX_RATE_LIMIT_REFUSALS = sampling.QUERY_ABOVE_SERVERS
@@ -581,9 +586,14 @@
         try:
             link = await self._links.link_to(address)
         except LinkLost as error:
-            balancing.note_failure(chosen.load, loop.time())
-            balancing.note_unreachable(chosen.load, loop.time())
-            return not_run(Reason.BACKEND_UNREACHABLE, str(error), NO_SERVER_RETRY_MS)
+            now = loop.time()
+            balancing.note_unreachable(chosen.load, now)
+            silent_link = error.link if isinstance(error, LinkUnanswered) else None
+            if silent_link is None or self._servers.has_untried(call, self._view(), now):
+                balancing.note_failure(chosen.load, now)
+                return not_run(Reason.BACKEND_UNREACHABLE, str(error), NO_SERVER_RETRY_MS)
+            # The daemon may only be standing still, and no other one has a server for the call.
+            link = silent_link
         now = loop.time()
         remaining = call.deadline - now
         if remaining <= 0 or call.caller_gone:
@@ -666,9 +676,12 @@
         if not call.body_complete:
             upload = asyncio.create_task(relay.upload(connection, call, attempt))
         try:
-            event = await attempt.events.get()
-            while isinstance(event, LinkSilent) and not self._may_fail_over(call):
-                event = await attempt.events.get()
+            event = await self._next_event(call, attempt)
+            while isinstance(event, LinkReplaced):
+                failure = await self._ask_beside(call, attempt, address)
+                if failure is not None:
+                    return failure
+                event = await self._next_event(call, attempt)
             if isinstance(event, frames.Reply):
                 balancing.note_success(attempt.load)
                 self._record_reply(call, attempt, event)
@@ -681,6 +694,26 @@
         self._record_failure(attempt, failure, loop.time())
         return failure
 
+    async def _next_event(self, call: Call, attempt: Attempt) -> Event:
+        """Return the next event of an attempt that matters to the call."""
+        event = await attempt.events.get()
+        while isinstance(event, LinkSilent) and not self._may_fail_over(call):
+            event = await attempt.events.get()
+        return event
+
+    async def _ask_beside(self, call: Call, attempt: Attempt, address: str) -> Failure | None:
+        """Return a failure if an attempt on a silent link was never admitted, else None.
+
+        Its server is not at fault, so the request may be sent there again on the new link.
+        """
+        now = asyncio.get_running_loop().time()
+        timeout = min(QUESTION_TIMEOUT_S, call.deadline - now)
+        failure = await self._links.resolve(address, attempt, now, timeout)
+        if failure.verdict is not Verdict.NOT_RUN:
+            return None
+        call.tried = call.tried[:-1]
+        return failure
+
     def _record_reply(self, call: Call, attempt: Attempt, reply: frames.Reply) -> None:
         now = asyncio.get_running_loop().time()
         traits = self._servers.traits_of(call)
--- a/hornbeamgw/daemon/link.py
+++ b/hornbeamgw/daemon/link.py
@@ -16,10 +16,10 @@
 from hornbeamgw.daemon.silence import Kind, report_silent
 
 # Heartbeats are answered within milliseconds, and TCP retransmits a lost packet after 0.2 s. A link
-# becomes suspect only after more than one retransmission.
-HEARTBEAT_AFTER_IDLE_S = 0.15
-SUSPECT_AFTER_IDLE_S = 0.5
-LOST_AFTER_IDLE_S = 1.2
+# becomes suspect only after more than one retransmission. Times count from the probe on.
+PROBE_AFTER_IDLE_S = 0.15
+SUSPECT_AFTER_S = 0.35
+LOST_AFTER_S = 1.05
 
 
 class LinkLost(Exception):
@@ -53,13 +53,15 @@
         )
         self.transport: asyncio.Transport | None = None
         self.lost = False
-        self.ack_received = False
-        self.received_at = 0.0
         self.kind = Kind.LINK
         self.signs = Signs(0.0)
         self.bytes_in = 0
         self.bytes_out = 0
         self._bytes_out_when_heard = 0
+        self._bytes_taken = 0
+        self._is_reported = False
+        self._unanswered_probes = 0
+        self._heard: asyncio.Future[None] | None = None
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._on_fault = on_fault
@@ -74,8 +76,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and send the hello."""
         self.transport = cast(asyncio.Transport, transport)
-        self.received_at = asyncio.get_running_loop().time()
-        self.signs = Signs(self.received_at)
+        self.signs = Signs(asyncio.get_running_loop().time())
         self.send(self.hello)
 
     def send(self, frame: frames.Frame) -> None:
@@ -112,9 +113,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Split received bytes into frames; close the link on an invalid one."""
-        self.received_at = asyncio.get_running_loop().time()
-        silence.note_heard(self.signs, self.received_at)
+        silence.note_heard(self.signs, asyncio.get_running_loop().time())
         self._bytes_out_when_heard = self.bytes_out
+        if self._heard is not None:
+            self._resolve_heard()
         self.bytes_in += len(data)
         self._buffer += data
         try:
@@ -152,9 +154,10 @@
         if self.peer is None:
             self._handle_hello(frame)
         elif isinstance(frame, frames.Heartbeat):
-            self.ack_received = self.ack_received or not frame.expects_reply
             if frame.expects_reply:
                 self.send(frames.Heartbeat(False))
+            else:
+                self._unanswered_probes -= 1
         else:
             try:
                 self._on_frame(self, frame)
@@ -172,30 +175,45 @@
         if not self.hello_received.done():
             self.hello_received.set_result(frame)
 
-    def restart_idle_timer(self, now: float) -> None:
-        """Measure idle time from now, since no frames were expected until now."""
-        self.received_at = max(self.received_at, now)
+    def probe(self, now: float) -> None:
+        """Request a sign of life from the peer, unless one is outstanding."""
+        if self.signs.unanswered_since is None:
+            self._bytes_taken = self.bytes_out - self.unsent_bytes()
+            self._send_probe(now)
 
-    def exclude_stall(self, stalled: float, now: float) -> None:
-        """Exclude from the idle time the seconds in which this daemon itself did not run.
-
-        What the peer sent meanwhile may be unread, and the peer may have stalled as well.
-        """
-        self.received_at = min(now, self.received_at + stalled)
+    def _send_probe(self, now: float) -> None:
+        silence.note_sent(self.signs, now)
+        self._unanswered_probes += 1
+        self.send(frames.Heartbeat(True))
 
-    def check_liveness(self, now: float) -> None:
-        """Send a heartbeat to an idle peer, and abort the link after LOST_AFTER_IDLE_S."""
-        idle = now - self.received_at
-        if idle >= LOST_AFTER_IDLE_S:
-            self._on_fault("silent link")
-            self.report_silent("closed", now)
-            self.abort()
-        elif idle >= HEARTBEAT_AFTER_IDLE_S:
-            silence.note_sent(self.signs, now)
-            self.send(frames.Heartbeat(True))
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes in the write buffer."""
+        return 0 if self.transport is None or self.lost else self.transport.get_write_buffer_size()
+
+    def note_progress(self, now: float) -> None:
+        """Begin the wait for an answer anew if a part of what is unsent has left meanwhile."""
+        unsent = self.unsent_bytes()
+        taken = self.bytes_out - unsent
+        if unsent and taken > self._bytes_taken:
+            silence.note_progress(self.signs, now)
+        self._bytes_taken = taken
+
+    def next_sign(self) -> asyncio.Future[None]:
+        """Return a future that is done once bytes arrive or the link is lost."""
+        if self._heard is None:
+            self._heard = asyncio.get_running_loop().create_future()
+        return self._heard
+
+    def _resolve_heard(self) -> None:
+        heard, self._heard = self._heard, None
+        if heard is not None and not heard.done():
+            heard.set_result(None)
 
     def report_silent(self, outcome: str, now: float) -> None:
-        """Count and log that the link is silent, and what is done about it."""
+        """Count and log once that the link is silent, and what is done about it."""
+        if self._is_reported:
+            return
+        self._is_reported = True
         peer = self.peer.member if self.peer is not None else ""
         sent = f"{self.bytes_out - self._bytes_out_when_heard} bytes"
         report_silent(self.kind, peer, self.signs, sent, outcome, now)
@@ -208,6 +226,7 @@
         if self.lost:
             return
         self.lost = True
+        self._resolve_heard()
         if not self.hello_received.done():
             self.hello_received.cancel()
         self._on_lost(self)
@@ -218,14 +237,15 @@
             self.transport.abort()
         self._end()
 
-    def request_ack(self) -> None:
+    def request_ack(self, now: float) -> None:
         """Request a heartbeat reply, which shows that the peer has read all previous frames."""
-        self.ack_received = False
-        self.send(frames.Heartbeat(True))
+        self._send_probe(now)
 
     def is_ack_pending(self, now: float) -> bool:
-        """Return whether the reply to `request_ack` is outstanding and the link is not lost."""
-        return not (self.lost or self.ack_received or now - self.received_at >= LOST_AFTER_IDLE_S)
+        """Return whether a requested reply is outstanding and the link is not silent."""
+        if self.lost or self._unanswered_probes <= 0:
+            return False
+        return silence.overdue(self.signs, now) < LOST_AFTER_S
 
     def close(self) -> None:
         """Close the link after sending all written bytes."""
--- a/hornbeamgw/daemon/peers.py
+++ b/hornbeamgw/daemon/peers.py
@@ -142,7 +142,7 @@
         loop = asyncio.get_running_loop()
         open_links = list(self.links)
         for link in open_links:
-            link.request_ack()
+            link.request_ack(loop.time())
         while any(link.is_ack_pending(loop.time()) for link in open_links):
             await asyncio.sleep(ACK_POLL_INTERVAL_S)
 
--- a/hornbeamgw/testing/proxy.py
+++ b/hornbeamgw/testing/proxy.py
@@ -13,16 +13,27 @@
     """Network faults that a proxy injects; `delay_s` is added to each chunk.
 
     Bytes read while a direction is dropped are discarded, as by a stateful firewall that has lost
-    track of the connection. With `refuse`, new connections are aborted.
+    track of the connection. With `refuse`, new connections are aborted. With `hold`, bytes wait
+    until it ends, as while the target stands still.
     """
 
     delay_s: float = 0.0
     drop_forward: bool = False
     drop_backward: bool = False
     refuse: bool = False
+    hold: bool = False
 
 
 NO_IMPAIRMENT = Impairment()
+HOLD_POLL_INTERVAL_S = 0.01
+
+
+class _Silence:
+    """The directions of one open connection that have gone silent for good."""
+
+    def __init__(self) -> None:
+        self.forward = False
+        self.backward = False
 
 
 class Proxy:
@@ -33,6 +44,8 @@
         self.target = target
         self.address = ""
         self.impairment = NO_IMPAIRMENT
+        self.accepted = 0
+        self._open: set[_Silence] = set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -43,6 +56,16 @@
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
         return self.address
 
+    def silence(self, forward: bool = True, backward: bool = True) -> int:
+        """Discard what still comes on the open connections; return their number.
+
+        Their ends are not passed on either. New connections work.
+        """
+        for silence in self._open:
+            silence.forward |= forward
+            silence.backward |= backward
+        return len(self._open)
+
     def reset(self) -> None:
         """Abort all connections."""
         for writer in list(self._writers):
@@ -60,6 +83,7 @@
         if self.impairment.refuse:
             writer.transport.abort()
             return
+        self.accepted += 1
         host, _, port = self.target.rpartition(":")
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(host, int(port))
@@ -67,9 +91,12 @@
             writer.transport.abort()
             return
         self._writers |= {writer, upstream_writer}
-        forward = self._spawn(self._forward(reader, upstream_writer, is_forward=True))
-        backward = self._spawn(self._forward(upstream_reader, writer, is_forward=False))
+        silence = _Silence()
+        self._open.add(silence)
+        forward = self._spawn(self._forward(reader, upstream_writer, silence, is_forward=True))
+        backward = self._spawn(self._forward(upstream_reader, writer, silence, is_forward=False))
         await asyncio.wait([forward, backward])
+        self._open.discard(silence)
         self._writers -= {writer, upstream_writer}
         for ended in (writer, upstream_writer):
             ended.close()
@@ -81,18 +108,29 @@
         return task
 
     async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_forward: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        silence: _Silence,
+        is_forward: bool,
     ) -> None:
+        def is_silent() -> bool:
+            return silence.forward if is_forward else silence.backward
+
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
+                if self.impairment.delay_s:
+                    await asyncio.sleep(self.impairment.delay_s)
+                while self.impairment.hold:
+                    await asyncio.sleep(HOLD_POLL_INTERVAL_S)
                 impairment = self.impairment
-                if impairment.delay_s:
-                    await asyncio.sleep(impairment.delay_s)
-                if impairment.drop_forward if is_forward else impairment.drop_backward:
+                is_dropped = impairment.drop_forward if is_forward else impairment.drop_backward
+                if is_dropped or is_silent():
                     continue
                 writer.write(data)
                 await writer.drain()
-            if writer.can_write_eof():
+            if not is_silent() and writer.can_write_eof():
                 writer.write_eof()
             return
-        writer.transport.abort()
+        if not is_silent():
+            writer.transport.abort()
