Let the accepting end go of links that went silent

What was seen: where links of a busy fleet go silent twelve times, the daemons that are called keep every one of them (27 open files became 49). Callers see nothing until the limit of open files.

A connection that has not said within 3 s which daemon it comes from is closed. Links that merely carry nothing cost nothing; exchanges of one question are over before 3 s and probe nothing.

--- a/features/silent_links.feature
+++ b/features/silent_links.feature
@@ -38,6 +38,23 @@
     And a caller of A makes 1 bookings with a deadline of 1000 ms, one after the other
     Then all of them are served, and each ran once
 
+  # Guards against an accepting end that keeps the links that went silent for good.
+  Scenario: The accepting end lets go of silent links
+    Given the link from A to B has carried a booking
+    When the open links go silent, and a booking is made after 2.6 seconds, 3 times
+    Then within 5 seconds B has no more than 1 link of A
+
+  # Guards against links of a daemon that has ended without a word, which stay open for good.
+  Scenario: The accepting end lets go of the links of a daemon that has ended
+    Given the link from A to B has carried a booking
+    When the open links go silent, and B takes A for dead and has not heard it for a sweep
+    Then within 3 seconds B has no more than 0 link of A
+
+  # Guards against connections that never say which daemon they come from.
+  Scenario: The accepting end lets go of connections that say nothing
+    When a connection to B is opened that says nothing
+    Then within 5 seconds B has no more than 0 link of nobody
+
   # Guards against a daemon that stands still, is taken for a silent link, and loses its calls.
   Scenario: A daemon that stands still keeps its link
     Given the link from A to B has carried a booking
--- a/features/steps/silent_links.py
+++ b/features/steps/silent_links.py
@@ -7,7 +7,8 @@
 
 from behave import given, then, when
 
-from hornbeamgw.daemon import attempts, heads
+from hornbeamgw.core.membership import Status
+from hornbeamgw.daemon import attempts, heads, peers
 from hornbeamgw.daemon import link as link_module
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient
 from hornbeamgw.testing.local import wait_for
@@ -157,16 +158,53 @@
     context.runner.run(run())
 
 
-@then("within {seconds:d} seconds B has no more than {count:d} link of A")
-def let_go(context, seconds, count):
-    a = context.a.control.view.me.address
+@when("the open links go silent, and B takes A for dead and has not heard it for a sweep")
+def taken_for_dead(context):
+    async def run():
+        context.network.silence()
+        b = context.b
+        view, a = b.control.view, context.a.control.view.me
+        now = asyncio.get_running_loop().time()
+        for link in b.peers.links:
+            link.signs.heard_at -= peers.SWEEP_INTERVAL_S
+        known = view.members_by_address[a.address]
+        view.members_by_address[a.address] = known._replace(status=Status.DEAD)
+        b.peers._swept_at = now - peers.SWEEP_INTERVAL_S
+        b.peers.check(now)
+        view.members_by_address[a.address] = known
+
+    context.runner.run(run())
+
+
+@when("a connection to B is opened that says nothing")
+def says_nothing(context):
+    async def run():
+        host, _, port = context.network.target.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+
+        async def close():
+            writer.close()
+
+        context.closers.append(close)
+        await wait_for(lambda: any(link.peer is None for link in context.b.peers.links))
+
+    context.runner.run(run())
+
+
+@then("within {seconds:d} seconds B has no more than {count:d} link of {whom}")
+def let_go(context, seconds, count, whom):
+    a = context.a.control.view.me.address if whom == "A" else ""
 
-    def links_of_a():
-        return [x for x in context.b.peers.links if x.peer is not None and x.peer.member == a]
+    def found():
+        members = [x.peer.member if x.peer is not None else "" for x in context.b.peers.links]
+        return members.count(a)
 
     async def wait():
-        async with asyncio.timeout(seconds):
-            await wait_for(lambda: len(links_of_a()) <= count)
+        try:
+            async with asyncio.timeout(seconds):
+                await wait_for(lambda: found() <= count)
+        except TimeoutError:
+            raise AssertionError(f"{found()} links of {whom!r}") from None
 
     context.runner.run(wait())
 
--- a/hornbeamgw/daemon/main.py
+++ b/hornbeamgw/daemon/main.py
@@ -318,7 +318,9 @@
         await registry.adopt()
 
     def _check_links(self) -> None:
-        self.links.check(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.links.check(now)
+        self.peers.check(now)
 
     def _expire_gates(self) -> None:
         self.gates.expire(asyncio.get_running_loop().time())
--- a/hornbeamgw/daemon/peers.py
+++ b/hornbeamgw/daemon/peers.py
@@ -5,8 +5,10 @@
 import asyncio
 import random
 import socket
+from collections import deque
 from typing import NamedTuple
 
+from hornbeamgw.core.membership import Status
 from hornbeamgw.core.options import split_address
 from hornbeamgw.daemon import frames
 from hornbeamgw.daemon.control import Control
@@ -15,8 +17,14 @@
 from hornbeamgw.daemon.link import Link
 from hornbeamgw.daemon.reader import Reader
 from hornbeamgw.daemon.silence import Kind
+from hornbeamgw.daemon.silence.link_watch import LinkWatch
 
 ACK_POLL_INTERVAL_S = 0.01
+# Links for a single question are closed within this time, and the hello has arrived by then.
+KEPT_AFTER_S = 3.0
+# Interval at which links of daemons that have ended are looked for, and the silence from which on
+# they are probed.
+SWEEP_INTERVAL_S = 30.0
 MAX_PORT_ATTEMPTS = 20
 # Below the ephemeral ports that Linux assigns to outgoing connections (32,768 and above).
 PORT_RANGE = (20_000, 32_000)
@@ -94,6 +102,9 @@
         self._gates = gates
         self._server: asyncio.Server | None = None
         self.links: set[Link] = set()
+        self._watch = LinkWatch(control.record_fault)
+        self._accepted: deque[Link] = deque()
+        self._swept_at = 0.0
 
     async def start(self, bound: socket.socket) -> None:
         """Listen on a bound TCP socket; raise OSError on failure."""
@@ -105,8 +116,48 @@
         link.kind = Kind.ACCEPTED_LINK
         link.remote_byte_counts = self._control.meter.remote_byte_counts
         self.links.add(link)
+        self._accepted.append(link)
         return link
 
+    def check(self, now: float) -> None:
+        """Probe links that their daemons have replaced or left behind, and close silent ones.
+
+        A link that merely carries nothing is not probed. Call this several times per STALL_S.
+        """
+        self._watch.check(now)
+        while self._accepted and now - self._accepted[0].signs.opened_at >= KEPT_AFTER_S:
+            self._settle(self._accepted.popleft(), now)
+        if now - self._swept_at >= SWEEP_INTERVAL_S:
+            self._swept_at = now
+            self._probe_abandoned(now)
+
+    def _settle(self, link: Link, now: float) -> None:
+        """Probe the former links of a daemon that keeps a new one; close one without a hello."""
+        if link not in self.links:
+            return
+        if link.peer is None:
+            link.report_silent("closed", now)
+            link.abort()
+            return
+        for former in self.links:
+            is_same = former.peer is not None and former.peer.member == link.peer.member
+            if is_same and former.signs.opened_at < link.signs.opened_at:
+                self._watch.probe(former, now)
+
+    def _probe_abandoned(self, now: float) -> None:
+        """Probe links of daemons that have ended, unless they were heard lately."""
+        members = self._control.view.members_by_address
+        for link in self.links:
+            if link.peer is None or now - link.signs.heard_at < SWEEP_INTERVAL_S:
+                continue
+            member = members.get(link.peer.member)
+            if (
+                member is None
+                or member.status >= Status.DEAD
+                or member.incarnation != link.peer.incarnation
+            ):
+                self._watch.probe(link, now)
+
     def _on_lost(self, link: Link) -> None:
         self.links.discard(link)
         self._gates.on_lost(link)
