Use no idle connection to the store again after one was found silent

Cause: a client of the store kept no age of its idle connections. A watch that got no answer gave up its own connection only; the next one went into another idle connection, as silent as the first, and waited its whole time-out (2.2 s) again. A daemon has a second connection as soon as it has written its row beside a watch.

Change: where a connection that has worked before gives no answer in time, all that are idle then are closed at the next use; so are those that have been idle for 2.5 s, which covers rare writes of rows. A time-out on a connection that has never answered throws no doubt: a store that is slow for all gets no more connections than before.

--- a/hornbeamgw/core/silence.py
+++ b/hornbeamgw/core/silence.py
@@ -67,8 +67,8 @@
     Attributes
     ----------
     silent_since : float
-        Time from which on the last one that was found silent owed an answer. Connections that have
-        not been heard since are doubted.
+        Time since which the last one that was found silent has surely been so. Connections that
+        have not been heard since are doubted.
     """
 
     __slots__ = ("silent_since",)
@@ -107,10 +107,13 @@
     return 0.0 if signs.unanswered_since is None else now - signs.unanswered_since
 
 
-def note_silent(doubts: Doubts, signs: Signs) -> None:
-    """Doubt all connections that have not been heard since this one has owed an answer."""
-    if signs.unanswered_since is not None:
-        doubts.silent_since = max(doubts.silent_since, signs.unanswered_since)
+def note_silent(doubts: Doubts, since: float) -> None:
+    """Doubt all connections that have not been heard since one has surely been silent.
+
+    That is the time at which it first owed an answer at once. Where an answer may take its time, as
+    to a request that waits for a change, it is the time at which the wait was given up.
+    """
+    doubts.silent_since = max(doubts.silent_since, since)
 
 
 def belief(signs: Signs, doubts: Doubts, limits: Limits, now: float) -> Belief:
--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -13,7 +14,7 @@
 
 from hornbeamgw.core import silence
 from hornbeamgw.core.options import split_address
-from hornbeamgw.core.silence import Signs
+from hornbeamgw.core.silence import Belief, Doubts, Limits, Signs
 from hornbeamgw.daemon.silence import Kind, connection_counts, report_silent
 
 MAX_HEAD_BYTES = 16 * 1024
@@ -26,6 +27,8 @@
 # A response whose body keeps arriving may take up to this multiple of the timeout in total. 1 MB
 # takes 2.7 s at 3 Mbit/s.
 SLOW_BODY_FACTOR = 4
+# Idle connections of a client are trusted for a while, and then closed when the next one is needed.
+CLIENT_LIMITS = Limits(trusted_s=2.5, answer_s=math.inf)
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -437,7 +440,12 @@
 
 
 class HttpClient:
-    """Client of one server with a pool of persistent connections."""
+    """Client of one server with a pool of persistent connections.
+
+    When one of them that has worked before gives no answer in time, those that are idle then are
+    not used again. A server that is slow to answer on new connections throws
+    no doubt on others.
+    """
 
     def __init__(
         self,
@@ -456,6 +464,7 @@
         self._kind = kind
         self._idle: list[HttpConnection] = []
         self._signs_by_connection: dict[HttpConnection, Signs] = {}
+        self._doubts = Doubts()
 
     async def request(
         self,
@@ -502,18 +511,28 @@
         return response
 
     def _on_silent(self, signs: Signs, sent: str, now: float) -> None:
+        silence.note_silent(self._doubts, now)
         report_silent(self._kind, self.address, signs, sent, "closed", now)
 
     async def _acquire(self) -> HttpConnection:
+        now = asyncio.get_running_loop().time()
         while self._idle:
             connection = self._idle.pop()
-            if not connection.lost and connection.poll() is None:
+            if (
+                not connection.lost
+                and self._is_trusted(connection, now)
+                and connection.poll() is None
+            ):
                 return connection
             self._signs_by_connection.pop(connection, None)
             connection.close()
         connection_counts[f"{self._kind}.dialled"] += 1
         return await dial(self.address)
 
+    def _is_trusted(self, connection: HttpConnection, now: float) -> bool:
+        signs = self._signs_by_connection[connection]
+        return silence.belief(signs, self._doubts, CLIENT_LIMITS, now) is Belief.TRUSTED
+
     def _release(self, connection: HttpConnection, signs: Signs) -> None:
         if connection.http.our_state is h11.DONE and connection.http.their_state is h11.DONE:
             connection.http.start_next_cycle()
--- a/hornbeamgw/daemon/silence/link_pool.py
+++ b/hornbeamgw/daemon/silence/link_pool.py
@@ -199,7 +199,8 @@
 
     def _note_silent(self, link: Link, now: float) -> None:
         """Doubt all links that are as silent as one whose peer has answered on a new link."""
-        silence.note_silent(self._doubts, link.signs)
+        if link.signs.unanswered_since is not None:
+            silence.note_silent(self._doubts, link.signs.unanswered_since)
         link.report_silent("replaced", now)
         self._silent.add(link)
         self._on_replaced(link)
