Let one request pay for the connections to a server that went silent together

What callers saw: where the idle connections of a daemon to its server have gone silent, one request that may be repeated after the other is sent into them and ends at its deadline, until each of them has been tried (up to 8 s, as many as the server had in use at once).

The pool knows how long a connection has been idle, but a request that gets no answer gives up its own connection only.

Change: where a request on a connection that has worked before gets not one byte until its deadline, those that have been idle since before it was sent are closed at the next use. Connections on which the server has answered others meanwhile stay, so that a slow server costs none.

features/silent_servers.feature, 4 idle connections: on all of 4 requests are lost in each of three directions of silence, now one at most (4 scenarios pass; the one on a slow request holds before as well). How often this happens among calls of a fleet was not measured.

--- a/hornbeamgw/daemon/backend_pool.py
+++ b/hornbeamgw/daemon/backend_pool.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 
 import h11
 
+from hornbeamgw.core import silence
+from hornbeamgw.core.silence import Belief, Doubts, Limits, Signs
 from hornbeamgw.daemon.http1 import HttpConnection, dial
+from hornbeamgw.daemon.silence import Kind, connection_counts, report_silent
 
 IDLE_MAX_S = 8.0
 # Ratio of the server's keep-alive timeout for which a connection is reused, so that a request
@@ -29,7 +33,11 @@
 
 
 class BackendPool:
-    """Connections to one backend server, limited to the number that the server announced."""
+    """Connections to one backend server, limited to the number that the server announced.
+
+    When a request on a connection that has worked before gets no answer until its deadline, the
+    connections that have been idle since it was sent are not used again.
+    """
 
     def __init__(self) -> None:
         """Create a closed pool."""
@@ -37,11 +45,13 @@
         self.address = ""
         self.connections = 0
         self.opened_count = 0
-        self._idle: list[tuple[HttpConnection, float]] = []
+        self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
         self._reused: set[HttpConnection] = set()
         self._unused: set[HttpConnection] = set()
         self._max_idle_by_connection: dict[HttpConnection, float] = {}
+        self._signs_by_connection: dict[HttpConnection, Signs] = {}
+        self._doubts = Doubts()
 
     def open(self, address: str, connections: int) -> None:
         """Allow connections to the server at an address, up to a maximum number."""
@@ -52,7 +62,7 @@
     def close(self) -> None:
         """Allow no more requests to be sent; connections in use are closed after their answers."""
         self.is_open = False
-        for connection, _ in self._idle:
+        for connection in self._idle:
             self._forget(connection)
             connection.close()
         self._idle.clear()
@@ -70,12 +80,10 @@
         now = asyncio.get_running_loop().time()
         max_idle = IDLE_MAX_S if idempotent else IDLE_MAX_NON_IDEMPOTENT_S
         while self._idle:
-            connection, idle_since = self._idle.pop()
-            is_usable = now - idle_since <= min(
-                max_idle, self._max_idle_by_connection.get(connection, max_idle)
-            )
+            connection = self._idle.pop()
+            is_trusted = self._is_trusted(connection, max_idle, now)
             connection.on_stray_input = None
-            if is_usable and not connection.lost and not connection.has_input():
+            if is_trusted and not connection.lost and not connection.has_input():
                 self._mark_reused(connection)
                 return connection
             self.discard(connection)
@@ -86,9 +94,37 @@
         if not self.is_open:
             connection.abort()
             raise PoolClosed("the backend server was removed")
+        self._note_opened(connection)
+        return connection
+
+    def _note_opened(self, connection: HttpConnection) -> None:
         self.opened_count += 1
+        connection_counts[f"{Kind.SERVER}.dialled"] += 1
         self._open.add(connection)
-        return connection
+        self._signs_by_connection[connection] = Signs(asyncio.get_running_loop().time())
+
+    def _is_trusted(self, connection: HttpConnection, max_idle: float, now: float) -> bool:
+        signs = self._signs_by_connection[connection]
+        trusted_s = min(max_idle, self._max_idle_by_connection.get(connection, max_idle))
+        limits = Limits(trusted_s, math.inf)
+        return silence.belief(signs, self._doubts, limits, now) is Belief.TRUSTED
+
+    def note_unanswered(self, connection: HttpConnection, sent_at: float, sent: str) -> None:
+        """Doubt the connections that have been idle since a request that got no answer was sent.
+
+        A request on a connection that has not worked before tells nothing of others. `sent_at` is
+        the time (s) at which the request was sent on the connection, and `sent` names it.
+        """
+        signs = self._signs_by_connection.get(connection)
+        if signs is None or self.is_fresh(connection):
+            return
+        idle_signs = [self._signs_by_connection[idle] for idle in self._idle]
+        if not any(idle.heard_at <= sent_at for idle in idle_signs):
+            return
+        silence.note_sent(signs, sent_at)
+        silence.note_silent(self._doubts, sent_at)
+        now = asyncio.get_running_loop().time()
+        report_silent(Kind.SERVER, self.address, signs, sent, "others as idle closed", now)
 
     def has_spare(self) -> bool:
         """Return whether one more connection may be open besides those of the pool."""
@@ -114,8 +150,7 @@
         if not self.is_open:
             connection.abort()
             return False
-        self.opened_count += 1
-        self._open.add(connection)
+        self._note_opened(connection)
         self._unused.add(connection)
         self._keep_idle(connection)
         return False
@@ -144,10 +179,11 @@
     def _keep_idle(self, connection: HttpConnection) -> None:
         # A server that sends something now may go on without end.
         connection.on_stray_input = lambda: self._discard_idle(connection)
-        self._idle.append((connection, asyncio.get_running_loop().time()))
+        silence.note_heard(self._signs_by_connection[connection], asyncio.get_running_loop().time())
+        self._idle.append(connection)
 
     def _discard_idle(self, connection: HttpConnection) -> None:
-        self._idle = [idle for idle in self._idle if idle[0] is not connection]
+        self._idle = [idle for idle in self._idle if idle is not connection]
         self.discard(connection)
 
     def retire(self, connection: HttpConnection) -> None:
@@ -169,3 +205,4 @@
         self._reused.discard(connection)
         self._unused.discard(connection)
         self._max_idle_by_connection.pop(connection, None)
+        self._signs_by_connection.pop(connection, None)
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -152,6 +152,7 @@
             detail = str(error) or type(error).__name__
             return not_run(Reason.BACKEND_UNREACHABLE, detail, RETRY_AFTER_UNREACHABLE_MS)
         pump: asyncio.Task[None] | None = None
+        sent_at, received_before = asyncio.get_running_loop().time(), connection.received_bytes
         try:
             attempt.is_answer_due = True
             sent = self._send_request(connection, call, attempt.deadline)
@@ -181,6 +182,9 @@
                     await pump
             if attempt.is_answer_due and not attempt.answered_at:
                 attempt.abandoned = connection
+                has_expired = asyncio.get_running_loop().time() >= attempt.deadline
+                if has_expired and connection.received_bytes == received_before:
+                    self.pool.note_unanswered(connection, sent_at, f"call {call.call_id}")
             else:
                 # A server that sends its answer ends with the first write to a closed connection.
                 self.pool.release(connection)
