Let go of callers that take nothing, or never end a message

What was seen: a caller whose connection goes silent while it takes a large answer, or a server whose message to its daemon stays half sent, keeps its connection, its task and up to the write buffer for good; only idle connections and unfinished heads had a limit.

Change: while the write buffer is over its limit, it is looked at every 3 s, and the connection is aborted and reported (kind caller) after 15 s in which nothing of it was taken; no answer lasts so long past its deadline. A body that is read as a whole (announcements, admin) ends with 408 after 15 s without another part. A caller that reads slowly keeps its connection; answers that never fill the buffer cost nothing.

--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -29,6 +29,8 @@
 SLOW_BODY_FACTOR = 4
 # Idle connections of a client are trusted for a while, and then closed when the next one is needed.
 CLIENT_LIMITS = Limits(trusted_s=2.5, answer_s=math.inf)
+# Number of times that an unread write buffer is looked at before the connection is aborted.
+STALL_CHECKS = 5
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -119,10 +121,15 @@
         self._events_at_once = 0
         self._paused = False
         self._discards_input = False
+        # Time (s) after which the connection is aborted if the peer takes nothing of what is sent.
+        self.max_stall = math.inf
+        self._signs = Signs(0.0)
+        self._stall_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and call `on_open`."""
         self.transport = cast(asyncio.Transport, transport)
+        self._signs = Signs(asyncio.get_running_loop().time())
         if self._on_open is not None:
             self._on_open(self)
 
@@ -186,6 +193,9 @@
         """Make `drain` wait."""
         if self._writable is None:
             self._writable = asyncio.get_running_loop().create_future()
+        if self._stall_timer is None and self.max_stall < math.inf:
+            silence.note_sent(self._signs, asyncio.get_running_loop().time())
+            self._check_stall(self.unsent_bytes())
         if self.pipeline is not None:
             self.pipeline.pause_writing()
 
@@ -197,6 +207,26 @@
         if self.pipeline is not None:
             self.pipeline.resume_writing()
 
+    def _check_stall(self, unsent_before: int) -> None:
+        """Abort the connection once nothing has been taken of its write buffer for too long."""
+        loop = asyncio.get_running_loop()
+        now, unsent = loop.time(), self.unsent_bytes()
+        self._stall_timer = None
+        if not unsent:
+            silence.note_heard(self._signs, now)
+            return
+        if unsent < unsent_before:
+            silence.note_progress(self._signs, now)
+        if silence.overdue(self._signs, now) >= self.max_stall:
+            peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+            name = f"{peer[0]}:{peer[1]}" if peer else ""
+            sent = f"{unsent} bytes not taken"
+            report_silent(Kind.CALLER, name, self._signs, sent, "closed", now)
+            self.abort()
+            return
+        interval = self.max_stall / STALL_CHECKS
+        self._stall_timer = loop.call_later(interval, self._check_stall, unsent)
+
     def _wake(self) -> None:
         if self._input_waiter is not None and not self._input_waiter.done():
             self._input_waiter.set_result(None)
--- a/hornbeamgw/daemon/http_server.py
+++ b/hornbeamgw/daemon/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any, NamedTuple
@@ -31,10 +32,22 @@
 
 
 class Timeouts(NamedTuple):
-    """Maximum time in seconds to receive a request head, and to keep an idle connection open."""
+    """Maximum times in seconds of the parts of an exchange with a caller.
+
+    Attributes
+    ----------
+    head_s : float
+        To receive a request head.
+    idle_s : float
+        To keep an idle connection open.
+    stall_s : float
+        To wait until the caller takes more of an answer, or sends more of a body that is read as a
+        whole. No answer lasts so long past its deadline (server_exchange.ANSWER_GRACE_S).
+    """
 
     head_s: float = 5.0
     idle_s: float = 60.0
+    stall_s: float = 15.0
 
 
 class BadRequest(Exception):
@@ -60,11 +73,13 @@
 
 
 async def read_body(connection: HttpConnection, limit: int) -> bytes:
-    """Return the body of a request; raise BadRequest if it exceeds `limit` bytes."""
+    """Return the body of a request; raise BadRequest if it exceeds `limit` bytes or stalls."""
     chunks: list[bytes] = []
     size = 0
     while True:
-        event = await connection.next_event()
+        event = connection.poll()
+        if event is None:
+            event = await _next_part(connection)
         if isinstance(event, h11.EndOfMessage):
             return b"".join(chunks)
         if isinstance(event, h11.Data):
@@ -74,6 +89,17 @@
             raise BadRequest(413, f"body over {limit} bytes")
 
 
+async def _next_part(connection: HttpConnection) -> Any:
+    """Wait for the next event of a body; raise BadRequest if the caller sends nothing for long."""
+    if connection.max_stall == math.inf:
+        return await connection.next_event()
+    try:
+        async with asyncio.timeout(connection.max_stall):
+            return await connection.next_event()
+    except TimeoutError:
+        raise BadRequest(408, "the request's body did not arrive in time") from None
+
+
 def check_request(connection: HttpConnection, request: h11.Request) -> None:
     """Store the request that is answered next; raise BadRequest if its head is not accepted."""
     connection.method = request.method
@@ -233,6 +259,7 @@
         return f"{name[0]}:{name[1]}"
 
     def _on_open(self, connection: HttpConnection) -> None:
+        connection.max_stall = self._timeouts.stall_s
         if self._pipelining is not None:
             self._pipelining.prepare(connection)
         task = asyncio.create_task(run_connection(connection, self._on_request, self._timeouts))
