--- a/features/steps/silent_links.py
+++ b/features/steps/silent_links.py
@@ -9,9 +9,10 @@
 from behave import given, then, when
 
 from hornbeamgw.core.membership import Status
-from hornbeamgw.daemon import attempts, heads, peers
+from hornbeamgw.daemon import attempts, frames, heads, peers
 from hornbeamgw.daemon import link as link_module
 from hornbeamgw.daemon.http1 import ConnectionLost, HttpClient
+from hornbeamgw.daemon.silence.link_watch import LinkWatch
 from hornbeamgw.testing.local import wait_for
 from hornbeamgw.testing.proxy import NO_IMPAIRMENT, Proxy
 from properties import silent_links_soak
@@ -303,9 +304,6 @@
 
 @when("a link owes an answer for {seconds:d} seconds while what is unsent leaves slowly")
 def leaves_slowly(context, seconds):
-    from hornbeamgw.daemon import frames
-    from hornbeamgw.daemon.silence.link_watch import LinkWatch
-
     async def begin():
         hello = frames.Hello("f", "10.0.0.9:7400", 1)
         link = link_module.Link(hello, print, lambda lost: None, lambda fault: None)
--- a/hornbeamgw/daemon/silence/link_pool.py
+++ b/hornbeamgw/daemon/silence/link_pool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 from collections.abc import Callable, Collection, Coroutine, Sequence
 from typing import Any
@@ -14,8 +13,6 @@
 from hornbeamgw.daemon.silence.link_watch import LinkWatch
 from hornbeamgw.daemon.silence.reports import connection_counts
 
-log = logging.getLogger(__name__)
-
 # A link that was heard within the first of these times is used without a probe. The second one
 # covers several round trips between data centres and leaves time for a new link and the request.
 LIMITS = Limits(trusted_s=2.5, answer_s=0.1)
