--- a/features/silent_links.feature
+++ b/features/silent_links.feature
@@ -55,6 +55,18 @@
     When a connection to B is opened that says nothing
     Then within 5 seconds B has no more than 0 link of nobody
 
+  # Guards against a daemon that ends before a peer has read an answer, as the link was quiet before it.
+  Scenario: A daemon that stops waits until what it sent on a quiet link has been read
+    Given the link from A to B has carried a booking
+    When nothing is sent for 2 seconds, and the network is held up for 0.5 seconds
+    Then B waits from 0.4 to 0.9 seconds for its peers to have read what it sent
+
+  # Guards against a stop that takes all of its time because a link went silent.
+  Scenario: A daemon that stops does not wait for long on a silent link
+    Given the link from A to B has carried a booking
+    When the open links go silent "both", and nothing is sent for 0.1 seconds
+    Then B waits from 0.9 to 1.3 seconds for its peers to have read what it sent
+
   # Guards against a daemon that stands still, is taken for a silent link, and loses its calls.
   Scenario: A daemon that stands still keeps its link
     Given the link from A to B has carried a booking
--- a/features/steps/silent_links.py
+++ b/features/steps/silent_links.py
@@ -212,6 +212,32 @@
     context.runner.run(wait())
 
 
+@when("nothing is sent for {idle:d} seconds, and the network is held up for {held:g} seconds")
+def held_up(context, idle, held):
+    async def release():
+        await asyncio.sleep(held)
+        context.network.impairment = NO_IMPAIRMENT
+
+    async def run():
+        await asyncio.sleep(idle)
+        context.network.impairment = NO_IMPAIRMENT._replace(hold=True)
+        context.releasing = asyncio.create_task(release())
+
+    context.runner.run(run())
+
+
+@then("B waits from {shortest:g} to {longest:g} seconds for its peers to have read what it sent")
+def waits_until_read(context, shortest, longest):
+    async def run():
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await context.b.peers.wait_until_read()
+        return loop.time() - began
+
+    took = context.runner.run(run())
+    assert shortest <= took <= longest, took
+
+
 @when(
     "nothing is sent for {idle:d} seconds, and B stands still for {still:g} seconds under a booking"
 )
