Find links silent that only carry questions for free slots

What callers saw: in a service of more than eight servers, the daemon of a caller asks two servers for free slots before a request. Where its links had gone silent, questions went into them for good: each waits 8 ms, and servers behind such links get no more requests, as only those that answer are chosen.

Change: a link that has not been heard for 2.5 s, or is doubted, is probed when it is about to carry a question, too; if the answer is overdue, a new one is opened instead, once a second at most to a daemon that does not answer at all. The timer of a probe that ran late, after a pause of this process, lets what has come be read first. STALL_S moves to core/silence.py.

--- a/features/silent_links.feature
+++ b/features/silent_links.feature
@@ -38,6 +38,18 @@
     And a caller of A makes 1 bookings with a deadline of 1000 ms, one after the other
     Then all of them are served, and each ran once
 
+  # Guards against questions for free slots that go into a silent link for good.
+  Scenario: A daemon that is only asked questions gets a new link as well
+    Given the link from A to B has carried a booking
+    When the open links go silent "both", and nothing is sent for 3 seconds
+    Then A has a link that was opened since within 1 second, if it asks B a question every 0.05 seconds
+
+  # Guards against a daemon that stands still and is flooded with connections for questions.
+  Scenario: A daemon that stands still gets one connection a second for questions
+    Given the link from A to B has carried a booking
+    When nothing is sent for 3 seconds, and B stands still for 3.5 seconds while A asks it questions
+    Then at most 4 links were opened meanwhile
+
   # Guards against an accepting end that keeps the links that went silent for good.
   Scenario: The accepting end lets go of silent links
     Given the link from A to B has carried a booking
--- a/features/steps/silent_links.py
+++ b/features/steps/silent_links.py
@@ -20,6 +20,7 @@
 DIRECTIONS = {"both": (True, True), "there": (True, False), "back": (False, True)}
 CALLER_PATIENCE_S = 0.5
 CHECK_INTERVAL_S = 0.1
+QUESTION_INTERVAL_S = 0.05
 
 
 class Lines(logging.Handler):
@@ -150,6 +151,45 @@
     assert lines[0].unanswered_s <= 0.6 and lines[0].sent.endswith("bytes"), vars(lines[0])
 
 
+async def ask_question(context):
+    """Ask B for an outlook if a link is open; return the link."""
+    link = context.a.links.link_if_open(context.network.target)
+    if link is not None:
+        link.send(frames.OutlookRequest(1, "roster", "all", "rosters", 500, 500, 500, 0, False))
+    await asyncio.sleep(QUESTION_INTERVAL_S)
+    return link
+
+
+@then(
+    "A has a link that was opened since within {seconds:d} second,"
+    " if it asks B a question every 0.05 seconds"
+)
+def new_link(context, seconds):
+    async def run():
+        until = asyncio.get_running_loop().time() + seconds
+        while await ask_question(context) in (None, context.link):
+            assert asyncio.get_running_loop().time() < until, "no new link"
+
+    context.runner.run(run())
+
+
+@when(
+    "nothing is sent for {idle:d} seconds,"
+    " and B stands still for {still:g} seconds while A asks it questions"
+)
+def still_under_questions(context, idle, still):
+    async def run():
+        await asyncio.sleep(idle)
+        context.accepted_before = context.network.accepted
+        context.network.impairment = NO_IMPAIRMENT._replace(hold=True)
+        until = asyncio.get_running_loop().time() + still
+        while asyncio.get_running_loop().time() < until:
+            await ask_question(context)
+        context.network.impairment = NO_IMPAIRMENT
+
+    context.runner.run(run())
+
+
 @when("the open links go silent, and a booking is made after {seconds:g} seconds, {count:d} times")
 def silent_often(context, seconds, count):
     async def run():
@@ -274,7 +314,11 @@
 def same_link(context):
     assert context.statuses == [200], context.statuses
     assert not context.link.lost
-    assert context.a.links.link_if_open(context.network.target) is context.link
+
+    async def link():
+        return context.a.links.link_if_open(context.network.target)
+
+    assert context.runner.run(link()) is context.link
 
 
 @then("at most {count:d} links were opened meanwhile")
--- a/hornbeamgw/core/silence.py
+++ b/hornbeamgw/core/silence.py
@@ -15,6 +15,10 @@
 from enum import Enum
 from typing import NamedTuple
 
+# Time by which a timer is late if this process has stood still meanwhile, for example because its
+# VM was suspended. What has come in that time is unread, so nothing follows from its absence.
+STALL_S = 0.25
+
 
 class Belief(Enum):
     """What is believed of a connection."""
@@ -84,6 +88,11 @@
     signs.unanswered_since = None
 
 
+def has_stalled(due: float, now: float) -> bool:
+    """Return whether this process stood still, given when a timer was due and when it ran."""
+    return now - due > STALL_S
+
+
 def note_sent(signs: Signs, now: float) -> None:
     """Note that bytes were sent whose answer is due, unless an earlier one is outstanding."""
     if signs.unanswered_since is None:
--- a/hornbeamgw/daemon/attempts.py
+++ b/hornbeamgw/daemon/attempts.py
@@ -238,7 +238,7 @@
     def check(self, now: float) -> None:
         """Check the links that owe an answer for silence; probe those on which attempts wait.
 
-        Call this several times per STALL_S.
+        Call this several times per `silence.STALL_S`.
         """
         earliest_start_by_link: dict[Link, float] = {}
         for attempt in self._attempts_by_number.values():
--- a/hornbeamgw/daemon/peers.py
+++ b/hornbeamgw/daemon/peers.py
@@ -122,7 +122,8 @@
     def check(self, now: float) -> None:
         """Probe links that their daemons have replaced or left behind, and close silent ones.
 
-        A link that merely carries nothing is not probed. Call this several times per STALL_S.
+        A link that merely carries nothing is not probed. Call this several times per
+        `silence.STALL_S`.
         """
         self._watch.check(now)
         while self._accepted and now - self._accepted[0].signs.opened_at >= KEPT_AFTER_S:
--- a/hornbeamgw/daemon/silence/link_pool.py
+++ b/hornbeamgw/daemon/silence/link_pool.py
@@ -18,8 +18,8 @@
 LIMITS = Limits(trusted_s=2.5, answer_s=0.1)
 # Bytes that wait in this daemon delay the probe as well, and a new link would have to wait, too.
 LIMITS_IF_FULL = LIMITS._replace(trusted_s=math.inf, answer_s=SUSPECT_AFTER_S)
-# Time after a new link was opened in vain beside a silent one before this is tried again, so that
-# daemons which stand still are not flooded with connections.
+# Time after a link was opened in vain before another one is opened beside a silent one, or for a
+# question, so that daemons which stand still are not flooded with connections.
 DIAL_BESIDE_INTERVAL_S = 1.0
 
 
@@ -79,11 +79,20 @@
         return None if link is None or link.lost else link
 
     def link_if_open(self, address: str) -> Link | None:
-        """Return the link to a daemon if it is open; otherwise start to open it."""
-        link = self.open_link(address)
-        if link is None:
-            self._dialling(address)
-        return link
+        """Return the link to a daemon if it is open and not silent.
+
+        Otherwise start to open one, unless this was in vain a moment ago. A link that has not been
+        heard for a while is probed, as an answer to what is sent on it may never come.
+        """
+        link, now = self.open_link(address), asyncio.get_running_loop().time()
+        if link is not None:
+            if self._is_trusted(link, now):
+                return link
+            self._watch.probe(link, now)
+            if silence.belief(link.signs, self._doubts, LIMITS, now) is not Belief.SILENT:
+                return link
+        self.dial_beside(address, now)
+        return None
 
     async def link_to(self, address: str) -> Link:
         """Return a link to a daemon that can be believed.
@@ -112,6 +121,8 @@
         wait = LIMITS.answer_s - silence.overdue(link.signs, now)
         if wait > 0:
             await asyncio.wait([link.next_sign()], timeout=wait)
+            # After a pause of this process the timer may run before what has come is read.
+            await asyncio.sleep(0)
         if not _is_overdue(link):
             return link
         if link.lost:
@@ -127,7 +138,7 @@
         try:
             await asyncio.shield(dialling)
         except LinkLost as error:
-            if link.lost or not isinstance(error.__cause__, TimeoutError):
+            if link.lost or not _is_unanswered(error):
                 raise
             raise LinkUnanswered(address, link) from error
         opened = self.open_link(address)
@@ -136,11 +147,11 @@
         return opened
 
     def dial_beside(self, address: str, now: float) -> asyncio.Task[Link] | None:
-        """Open a link beside a silent one, unless this was in vain a moment ago."""
+        """Open a link, beside a silent one if there is one, unless this was in vain just now."""
         unanswered_at = self._unanswered_at_by_address.get(address, -math.inf)
         if now - unanswered_at < DIAL_BESIDE_INTERVAL_S:
             return None
-        if address not in self._dialling_by_address:
+        if address not in self._dialling_by_address and self.open_link(address) is not None:
             connection_counts["link.dialled_beside"] += 1
         return self._dialling(address)
 
@@ -156,8 +167,11 @@
     def _on_dialled(self, address: str, task: asyncio.Task[Link]) -> None:
         del self._dialling_by_address[address]
         now = asyncio.get_running_loop().time()
-        if task.cancelled() or task.exception() is not None:
-            if self.open_link(address) is not None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            if _is_unanswered(error):
                 self._unanswered_at_by_address[address] = now
             return
         self._unanswered_at_by_address.pop(address, None)
@@ -220,3 +234,8 @@
 def _is_overdue(link: Link) -> bool:
     """Return whether a link is lost, or still owes an answer."""
     return link.lost or link.signs.unanswered_since is not None
+
+
+def _is_unanswered(error: BaseException) -> bool:
+    """Return whether a link could not be opened because nothing came, not even a refusal."""
+    return isinstance(error.__cause__, TimeoutError)
--- a/hornbeamgw/daemon/silence/link_watch.py
+++ b/hornbeamgw/daemon/silence/link_watch.py
@@ -9,11 +9,6 @@
 from hornbeamgw.daemon.link import LOST_AFTER_S, SUSPECT_AFTER_S, Link
 from hornbeamgw.daemon.silence.reports import connection_counts
 
-# Time between two checks after which this daemon counts as having stood still, for example because
-# its VM was suspended. It is shorter than the time after which a link that owes an answer is
-# suspect.
-STALL_S = 0.25
-
 
 class LinkWatch:
     """The links that owe an answer to a probe; others cost nothing.
@@ -37,13 +32,13 @@
     def check(self, now: float) -> Sequence[Link]:
         """Close silent links, and return those that are suspect.
 
-        Call this several times per STALL_S.
+        Call this several times per `silence.STALL_S`.
         """
         stalled = now - self._checked_at
         self._checked_at = now
         suspects = []
         for link in list(self._probed):
-            if stalled > STALL_S:
+            if stalled > silence.STALL_S:
                 silence.exclude_pause(link.signs, stalled, now)
             link.note_progress(now)
             overdue = silence.overdue(link.signs, now)
