Throw no doubt on connections after a pause of this process

What was seen: a client that stood still while a request was under way ran into its time-out before the answer was read, reported its connection as silent and gave up the one that was idle (one opened anew where both were sound). A caller was let go likewise, if its daemon stood still for longer than 15 s.

Links exclude such times; the clients of the store, the pool of a server and the check on callers, which are new here, did not.

Change: a time-out that runs more than STALL_S late throws no doubt, and the wait for a caller excludes the time.

--- a/features/silent_callers.feature
+++ b/features/silent_callers.feature
@@ -18,3 +18,9 @@
     Given a server that lets go of callers after 1 second in which they take nothing
     When a caller sends half of a message and nothing more
     Then its connection is closed within 4 seconds, and the handler has ended
+
+  # Guards against a server that takes a pause of its own process for the silence of its callers.
+  Scenario: A server that stood still does not let go of its callers
+    Given a server that lets go of callers after 1 second in which they take nothing
+    When all stand still for 1.5 seconds while a caller reads 30000000 bytes
+    Then it gets the whole answer after more than 1 seconds
--- a/features/silent_store.feature
+++ b/features/silent_store.feature
@@ -27,6 +27,13 @@
     Then every request times out
     And at most 8 connections were opened meanwhile
 
+  # Guards against a client that takes a pause of its own process for the silence of its connections.
+  Scenario: A client that stood still throws no doubt on its connections
+    Given a client with 2 idle connections to a server behind a network
+    When the client stands still for 0.8 seconds under a request, and then sends 1 request
+    Then every request is answered at once
+    And at most 0 connections were opened meanwhile, and no connection is called silent
+
   # Guards against a configuration that stays in force past the bound while idle connections are tried in turn.
   Scenario Outline: A version that is written after the connections went silent is in force in time
     Given three daemons that reach the store through a network, with 2 connections each
--- a/features/steps/silent_callers.py
+++ b/features/steps/silent_callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 
 import h11
 from behave import given, then, when
@@ -96,6 +97,24 @@
     context.runner.run(run())
 
 
+@when("all stand still for {still:g} seconds while a caller reads {size:d} bytes")
+def stand_still(context, still, size):
+    async def run():
+        loop = asyncio.get_running_loop()
+        sock = await send(context, b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % size)
+        await asyncio.sleep(0.3)
+        time.sleep(still)
+        await asyncio.sleep(0.1)
+        context.received, context.size = 0, size
+        while context.received < size:
+            data = await loop.sock_recv(sock, PART_BYTES)
+            assert data, context.received
+            context.received += len(data)
+        context.took = loop.time() - context.sent_at
+
+    context.runner.run(run())
+
+
 @then("it gets the whole answer after more than {seconds:d} seconds")
 def whole(context, seconds):
     assert context.received >= context.size
--- a/features/steps/silent_store.py
+++ b/features/steps/silent_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from behave import given, then, when
 from outside import in_force, known_to_all, start_daemon, version_of
@@ -93,6 +94,30 @@
     send(context, count)
 
 
+@when(
+    "the client stands still for {still:g} seconds under a request,"
+    " and then sends {count:d} request"
+)
+def stand_still(context, still, count):
+    async def run():
+        context.delay = 0.1
+        request = asyncio.create_task(context.client.request("GET", "/row"))
+        await asyncio.sleep(0.05)
+        time.sleep(still)
+        await asyncio.wait([request])
+        request.exception()
+        context.delay = 0.0
+
+    context.runner.run(run())
+    send(context, count)
+
+
+@then("at most {count:d} connections were opened meanwhile, and no connection is called silent")
+def none_silent(context, count):
+    opened(context, count)
+    assert not context.lines.records, context.lines.records
+
+
 def is_answered_at_once(outcome):
     return outcome[0] == 200 and outcome[1] < AT_ONCE_S
 
--- a/hornbeamgw/daemon/http1.py
+++ b/hornbeamgw/daemon/http1.py
@@ -195,7 +195,7 @@
             self._writable = asyncio.get_running_loop().create_future()
         if self._stall_timer is None and self.max_stall < math.inf:
             silence.note_sent(self._signs, asyncio.get_running_loop().time())
-            self._check_stall(self.unsent_bytes())
+            self._check_stall(self.unsent_bytes(), asyncio.get_running_loop().time())
         if self.pipeline is not None:
             self.pipeline.pause_writing()
 
@@ -207,14 +207,19 @@
         if self.pipeline is not None:
             self.pipeline.resume_writing()
 
-    def _check_stall(self, unsent_before: int) -> None:
-        """Abort the connection once nothing has been taken of its write buffer for too long."""
+    def _check_stall(self, unsent_before: int, due: float) -> None:
+        """Abort the connection once nothing has been taken of its write buffer for too long.
+
+        `due` is the time (s) at which this was to be called.
+        """
         loop = asyncio.get_running_loop()
         now, unsent = loop.time(), self.unsent_bytes()
         self._stall_timer = None
         if not unsent:
             silence.note_heard(self._signs, now)
             return
+        if silence.has_stalled(due, now):
+            silence.exclude_pause(self._signs, now - due, now)
         if unsent < unsent_before:
             silence.note_progress(self._signs, now)
         if silence.overdue(self._signs, now) >= self.max_stall:
@@ -224,8 +229,8 @@
             report_silent(Kind.CALLER, name, self._signs, sent, "closed", now)
             self.abort()
             return
-        interval = self.max_stall / STALL_CHECKS
-        self._stall_timer = loop.call_later(interval, self._check_stall, unsent)
+        due = now + self.max_stall / STALL_CHECKS
+        self._stall_timer = loop.call_at(due, self._check_stall, unsent, due)
 
     def _wake(self) -> None:
         if self._input_waiter is not None and not self._input_waiter.done():
@@ -530,9 +535,10 @@
                     connection, method, target, request_headers, body, on_part, self._max_bytes
                 )
             except BaseException:
-                is_silent = limit.expired() and connection.received_bytes == received_before
-                if is_reused and is_silent:
-                    self._on_silent(signs, f"{method} {target}", loop.time())
+                now = loop.time()
+                has_expired = limit.expired() and not silence.has_stalled(limit.when() or now, now)
+                if is_reused and has_expired and connection.received_bytes == received_before:
+                    self._on_silent(signs, f"{method} {target}", now)
                 connection.abort()
                 raise
         silence.note_heard(signs, loop.time())
--- a/hornbeamgw/daemon/server_exchange.py
+++ b/hornbeamgw/daemon/server_exchange.py
@@ -17,6 +17,7 @@
     link_admission,
     occupancy,
     service_times,
+    silence,
     stopping,
     transfers,
 )
@@ -182,8 +183,10 @@
                     await pump
             if attempt.is_answer_due and not attempt.answered_at:
                 attempt.abandoned = connection
-                has_expired = asyncio.get_running_loop().time() >= attempt.deadline
-                if has_expired and connection.received_bytes == received_before:
+                now = asyncio.get_running_loop().time()
+                has_expired = now >= attempt.deadline
+                has_stalled = silence.has_stalled(attempt.deadline, now)
+                if has_expired and not has_stalled and connection.received_bytes == received_before:
                     self.pool.note_unanswered(connection, sent_at, f"call {call.call_id}")
             else:
                 # A server that sends its answer ends with the first write to a closed connection.
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -1245,6 +1245,29 @@
         (("        if unsent < unsent_before:\n", "        if False:\n"),),
         SILENT_CALLERS,
     ),
+    Mutant(
+        "a link that is only asked questions is probed, too",
+        "hornbeamgw/daemon/silence/link_pool.py",
+        (
+            (
+                "            self._watch.probe(link, now)\n            if silence",
+                "            if silence",
+            ),
+        ),
+        SILENT_LINKS,
+    ),
+    Mutant(
+        "a client's own pause throws no doubt on connections",
+        "hornbeamgw/daemon/http1.py",
+        (("limit.expired() and not silence.has_stalled(limit.when() or now, now)", "True"),),
+        SILENT_STORE,
+    ),
+    Mutant(
+        "a server's own pause is no silence of callers",
+        "hornbeamgw/daemon/http1.py",
+        (("        if silence.has_stalled(due, now):", "        if False:"),),
+        SILENT_CALLERS,
+    ),
 )
 
 
