Let others run while a message in many small parts is read

What was seen: since the body of an announcement or an admin request was read without a break, so one in thousands of small chunks held up all other work of the daemon while it was read. Found while reading the change.

Cause: read_body polled the connection itself before it waited, and passed by the limit of events at once (MAX_EVENTS_AT_ONCE) of next_event. Now every event comes from next_event, under the time limit.

--- a/features/silent_callers.feature
+++ b/features/silent_callers.feature
@@ -24,3 +24,9 @@
     Given a server that lets go of callers after 1 second in which they take nothing
     When all stand still for 1.5 seconds while a caller reads 30000000 bytes
     Then it gets the whole answer after more than 1 seconds
+
+  # Guards against a message in many small parts that holds up all else while it is read.
+  Scenario: A message in many small parts lets others run
+    Given a server that lets go of callers after 1 second in which they take nothing
+    When a caller sends a message in 5000 parts at once
+    Then it is answered, and others had their turn at least 50 times meanwhile
--- a/features/steps/silent_callers.py
+++ b/features/steps/silent_callers.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from silent_links import keep_lines
 
-from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body
+from hornbeamgw.daemon.http_server import HttpServer, Timeouts, read_body, send_response
 from hornbeamgw.testing.local import wait_for
 
 PART_BYTES = 64 * 1024
@@ -135,3 +135,37 @@
     (line,) = context.lines.records
     assert line.kind == "caller" and line.peer.startswith("127.0.0.1:"), vars(line)
     assert line.sent.endswith("bytes not taken") and line.unanswered_s >= 0.9, vars(line)
+
+
+@when("a caller sends a message in {count:d} parts at once")
+def many_parts(context, count):
+    head = b"POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    async def answer(connection, request):
+        ticks, is_done = 0, False
+
+        def tick():
+            nonlocal ticks
+            ticks += 1
+            if not is_done:
+                asyncio.get_running_loop().call_soon(tick)
+
+        while connection.received_bytes < len(head) + 6 * count + 5:
+            await asyncio.sleep(0.01)
+        tick()
+        context.body = await read_body(connection, count)
+        is_done, context.ticks = True, ticks
+        send_response(connection, 200, [], b"")
+
+    async def run():
+        context.server._on_request = answer
+        sock = await send(context, head + b"1\r\nx\r\n" * count + b"0\r\n\r\n")
+        context.answer = await asyncio.get_running_loop().sock_recv(sock, PART_BYTES)
+
+    context.runner.run(run())
+
+
+@then("it is answered, and others had their turn at least {count:d} times meanwhile")
+def others_ran(context, count):
+    assert context.answer.startswith(b"HTTP/1.1 200"), context.answer
+    assert context.ticks >= count, context.ticks
--- a/hornbeamgw/daemon/http_server.py
+++ b/hornbeamgw/daemon/http_server.py
@@ -77,9 +77,7 @@
     chunks: list[bytes] = []
     size = 0
     while True:
-        event = connection.poll()
-        if event is None:
-            event = await _next_part(connection)
+        event = await _next_part(connection)
         if isinstance(event, h11.EndOfMessage):
             return b"".join(chunks)
         if isinstance(event, h11.Data):
